Look again before the first byte on a connection that came up late

Seen: a connection that came up after its attempt was decided was written on without another look (EndpointPool.connect's listener asked only whether the attempt had been given up). In a test that holds the connect back, a request whose client had left was sent 'where the settings allow no cancelling', for Decide.abandoned calls nothing off there and Held.endUnserved relied on it; a server that had meanwhile been told to drain, was gone, had moved, or was started anew (and so cold) was sent to; a keyed repeat went out after its window.

Ruled out: the module. It ends the request in each case and sends nothing further; only the write came late.

Now: an endpoint in the pool stands for one process at one address and ends for good when the list says otherwise; whatever asks for it then closes. Connection.begin is the one way to the first byte, and looks at the attempt, the endpoint and the request. A request that is over drops what was not written whole, which is no cancelling: nothing of it reached an endpoint. An attempt dropped so is told to the module as never sent and is no mark against the server. Decisions stay in the module; this is the last look only.

--- a/src/main/java/cobaltrack/sidecar/EndpointPool.java
+++ b/src/main/java/cobaltrack/sidecar/EndpointPool.java
@@ -34,7 +34,6 @@
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -50,6 +49,11 @@
      * served.
      */
     interface Listener {
+        /** Looked at right before the first byte: false if by now nothing may be sent for this attempt. */
+        default boolean mayBegin() {
+            return true;
+        }
+
         void ended(Contract.Outcome outcome, Answer answer, Contract.Report report);
     }
 
@@ -100,24 +104,28 @@
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Takes in the list: addresses may move, and what drains or is gone keeps no idle connections. */
+    /**
+     * Takes in the list. What drains, is gone, has moved or was started anew ends as an endpoint here, for good:
+     * its idle connections close, and none that comes up later or is still in use takes anything new.
+     */
     void update(EndpointList list) {
+        Map<String, Endpoint> before = new HashMap<>(endpoints);
         if (list.whole()) {
-            endpoints.values().forEach(e -> e.up = false);
+            endpoints.clear();
         }
         for (EndpointList.Entry entry : list.entries()) {
-            Endpoint e = endpoints.computeIfAbsent(entry.server().id(), id -> new Endpoint(idleMost));
-            if (!Objects.equals(entry.address(), e.address)) {
-                e.closeIdle();
-                e.address = entry.address();
+            String id = entry.server().id();
+            if (entry.server().standing() == Contract.Standing.UP) {
+                Endpoint e = before.get(id);
+                endpoints.put(id, e != null && e.is(entry) ? e : new Endpoint(entry, idleMost));
+            } else {
+                endpoints.remove(id);
             }
-            e.up = entry.server().standing() == Contract.Standing.UP;
         }
-        endpoints.values().removeIf(e -> {
-            if (!e.up) {
-                e.closeIdle();
+        before.forEach((id, e) -> {
+            if (endpoints.get(id) != e) {
+                e.end();
             }
-            return !e.up;
         });
     }
 
@@ -131,7 +139,7 @@
         }
         Connection idle = endpoint.takeIdle(clock.now());
         if (idle != null) {
-            idle.write(attempt);
+            idle.begin(attempt);
         } else if (open < most || closeOldestIdle()) {
             connect(endpoint, attempt);
         } else {
@@ -160,13 +168,7 @@
                 return;
             }
             connection.channel.closeFuture().addListener(closed -> open--);
-            if (attempt.over) {
-                // Given up while connecting: the endpoint has paid for the connection, so the next request
-                // has it.
-                connection.release();
-            } else {
-                connection.write(attempt);
-            }
+            connection.begin(attempt);
         });
     }
 
@@ -199,14 +201,27 @@
     /** An endpoint on the list, and its idle connections, the longest idle first. */
     private static final class Endpoint {
         final ArrayDeque<Connection> idle = new ArrayDeque<>();
-        SocketAddress address;
-        boolean up;
+        final SocketAddress address;
+        private final double startedAt;
+        private boolean ended;
         double idleMost;
 
-        Endpoint(double idleMost) {
+        Endpoint(EndpointList.Entry entry, double idleMost) {
+            this.address = entry.address();
+            this.startedAt = entry.server().startedAt();
             this.idleMost = idleMost;
         }
 
+        // The same process at the same place, as far as the list tells.
+        boolean is(EndpointList.Entry entry) {
+            return address.equals(entry.address()) && startedAt == entry.server().startedAt();
+        }
+
+        void end() {
+            ended = true;
+            closeIdle();
+        }
+
         // The one used last, so that those beyond need grow old and are closed.
         Connection takeIdle(double now) {
             Connection c = idle.pollLast();
@@ -217,7 +232,7 @@
             return c;
         }
 
-        void closeIdle() {
+        private void closeIdle() {
             idle.forEach(c -> c.channel.close());
             idle.clear();
         }
@@ -242,6 +257,11 @@
             }
         }
 
+        /** True once the endpoint may have had the whole request, so that it may run. */
+        boolean written() {
+            return connection != null && connection.written;
+        }
+
         /**
          * Gives up the attempt by closing its connection; its listener hears no more. True if the endpoint
          * may have had the whole request, so that it may run.
@@ -254,7 +274,7 @@
             if (connection == null) {
                 return false;
             }
-            boolean written = connection.written;
+            boolean written = written();
             connection.channel.close();
             return written;
         }
@@ -294,7 +314,6 @@
     /** One connection and the attempt on it, if any. */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Endpoint endpoint;
-        private final SocketAddress address;
         private final Decoder decoder = new Decoder();
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private Channel channel;
@@ -311,7 +330,6 @@
 
         private Connection(Endpoint endpoint) {
             this.endpoint = endpoint;
-            this.address = endpoint.address;
         }
 
         private void addTo(ChannelPipeline pipeline) {
@@ -335,6 +353,18 @@
             }
         }
 
+        // Guards against what has changed since the attempt was decided, for a connection may come up late: a
+        // request that is over is not sent, and nothing goes to an endpoint that has ended since.
+        private void begin(Attempt a) {
+            if (!a.over && !endpoint.ended && a.listener.mayBegin()) {
+                write(a);
+                return;
+            }
+            // Nothing was sent. The endpoint has paid for the connection, so the next request has it.
+            release();
+            a.end(Contract.Outcome.CONNECT_FAILED, null, null);
+        }
+
         private void write(Attempt a) {
             attempt = a;
             a.connection = this;
@@ -355,9 +385,8 @@
             });
         }
 
-        // Guards against a connection to where the endpoint was: it may have moved while this one was in use.
         private void release() {
-            if (channel.isActive() && endpoint.up && address.equals(endpoint.address)) {
+            if (channel.isActive() && !endpoint.ended) {
                 idleSince = clock.now();
                 endpoint.idle.addLast(this);
             } else {
--- a/src/main/java/cobaltrack/sidecar/Main.java
+++ b/src/main/java/cobaltrack/sidecar/Main.java
@@ -1,6 +1,7 @@
 package cobaltrack.sidecar;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -47,7 +48,7 @@
             String path = configuration();
             Config config = Config.read(path, mapper);
             EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-            Parts parts = wire(config, mapper, loop);
+            Parts parts = wire(config, mapper, loop, new Clock(), NioSocketChannel.class);
             Warmup.run(config.settings());
             Reload reload = new Reload(path, mapper, parts.discovery, Main::log);
             // On the loop, which owns the watch and takes several in their order.
@@ -75,19 +76,22 @@
     }
 
     /** The parts, made but idle; {@code start} is run on the loop once the server listens. */
-    record Parts(ClientServer server, Discovery discovery, Runnable start) { }
+    record Parts(ClientServer server, Sidecar sidecar, Discovery discovery, Runnable start) { }
 
-    /** Makes the parts. Nothing is asked of discovery before a failed bind could still end the process. */
-    static Parts wire(Config config, ObjectMapper mapper, EventLoop loop) {
-        Clock clock = new Clock();
-        EndpointPool pool = new EndpointPool(loop, NioSocketChannel.class, clock, config.connectTimeout(),
+    /**
+     * Makes the parts, with this clock and this kind of connections to endpoints. Nothing is asked of discovery before a failed
+     * bind could still end the process.
+     */
+    static Parts wire(Config config, ObjectMapper mapper, EventLoop loop, Clock clock,
+                      Class<? extends Channel> channels) {
+        EndpointPool pool = new EndpointPool(loop, channels, clock, config.connectTimeout(),
                 config.endpointIdle(), Math.max(1, config.sockets() * ENDPOINT_SHARE / SHARES));
         Sidecar sidecar = new Sidecar(loop, clock, config.settings(), config.seed(), pool, Main::log);
         Discovery discovery = new Discovery(loop, config.discovery(), mapper,
                 !config.settings().listMustBeAsked(), config.seed(), config.known(), sidecar);
         ClientServer server = new ClientServer(loop, clock, sidecar, config.settings(),
                 Math.max(1, config.sockets() * CLIENT_SHARE / SHARES));
-        return new Parts(server, discovery, () -> {
+        return new Parts(server, sidecar, discovery, () -> {
             sidecar.start(discovery::watch, config.known());
             server.ready();
         });
--- a/src/main/java/cobaltrack/sidecar/Sidecar.java
+++ b/src/main/java/cobaltrack/sidecar/Sidecar.java
@@ -112,6 +112,11 @@
         List.copyOf(open.values()).forEach(Held::endUnserved);
     }
 
+    /** Requests taken that are not over, or that have attempts out. */
+    int held() {
+        return open.size();
+    }
+
     // An event may cause another before the module has returned from it: that one waits its turn.
     private void tell(Runnable event) {
         events.add(event);
@@ -236,6 +241,9 @@
         private void over() {
             over = true;
             deadline.cancel(false);
+            // Guards against sending late what nobody waits for. This is no cancelling, which the settings may
+            // rule out: nothing of such an attempt has reached an endpoint, or not all of it.
+            attempts.forEach(Attempt::dropUnwritten);
             tidy();
         }
 
@@ -263,6 +271,14 @@
                     || attempts.stream().allMatch(a -> a.outcome != null && a.outcome.neverRan);
         }
 
+        // Rule 2 again, for a further attempt whose connection came up late: time for a repeat may be over.
+        private boolean mayRepeat(Attempt next, double now) {
+            Contract.RequestClass k = settings.classes().get(request.classIndex);
+            return k.effect() == Contract.Effect.SAFE || attempts.stream().noneMatch(a -> a != next
+                    && (a.outcome == null || !a.outcome.neverRan)
+                    && (k.effect() == Contract.Effect.UNSAFE || now >= a.sentAt + k.window()));
+        }
+
         private void send(String server, double within) {
             double now = clock.now();
             Attempt a = new Attempt(this, attempts.size(), now);
@@ -309,6 +325,19 @@
             }
         }
 
+        private void dropUnwritten() {
+            if (outcome == null && attempt != null && !attempt.written()) {
+                attempt.giveUp();
+                ended(Contract.Outcome.NEVER_SENT, null, null);
+            }
+        }
+
+        @Override
+        public boolean mayBegin() {
+            double now = clock.now();
+            return !held.over && now < held.endAt && held.mayRepeat(this, now);
+        }
+
         @Override
         public void ended(Contract.Outcome how, EndpointPool.Answer answer, Contract.Report report) {
             if (outcome != null) {
--- a/src/test/java/cobaltrack/sidecar/FakeServer.java
+++ b/src/test/java/cobaltrack/sidecar/FakeServer.java
@@ -53,6 +53,7 @@
 
     final List<Request> requests = new CopyOnWriteArrayList<>();
     private final BlockingQueue<Request> arrived = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Socket> accepted = new LinkedBlockingQueue<>();
     private final BlockingQueue<Socket> ended = new LinkedBlockingQueue<>();
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final ServerSocket listener;
@@ -91,6 +92,13 @@
         return r;
     }
 
+    /** Waits until a connection has come up. */
+    void awaitConnection() throws InterruptedException {
+        if (accepted.poll(PATIENCE_S, TimeUnit.SECONDS) == null) {
+            throw new AssertionError("no connection came up");
+        }
+    }
+
     /** Waits until the other side has closed a connection. */
     void awaitEnd() throws InterruptedException {
         if (ended.poll(PATIENCE_S, TimeUnit.SECONDS) == null) {
@@ -109,6 +117,7 @@
             while (true) {
                 Socket s = listener.accept();
                 sockets.add(s);
+                accepted.add(s);
                 daemon(() -> serve(s));
             }
         } catch (IOException e) {
--- /dev/null
+++ b/src/test/java/cobaltrack/sidecar/LateSocket.java
@@ -0,0 +1,46 @@
+package cobaltrack.sidecar;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.DefaultChannelPipeline;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.SocketAddress;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A socket whose connection comes up only when the test lets it: the latch before a connect. */
+public final class LateSocket extends NioSocketChannel {
+    private static final BlockingQueue<Runnable> HELD = new LinkedBlockingQueue<>();
+
+    static void forget() {
+        HELD.clear();
+    }
+
+    /** Waits until a connection has been begun; what it returns lets that one go on. */
+    static Runnable awaitConnect() throws InterruptedException {
+        Runnable go = HELD.poll(FakeServer.PATIENCE_S, TimeUnit.SECONDS);
+        if (go == null) {
+            throw new AssertionError("no connection was begun");
+        }
+        return go;
+    }
+
+    static int waiting() {
+        return HELD.size();
+    }
+
+    @Override
+    protected DefaultChannelPipeline newChannelPipeline() {
+        DefaultChannelPipeline pipeline = super.newChannelPipeline();
+        pipeline.addLast(new ChannelOutboundHandlerAdapter() {
+            @Override
+            public void connect(ChannelHandlerContext ctx, SocketAddress remote, SocketAddress local,
+                                ChannelPromise promise) {
+                HELD.add(() -> ctx.executor().execute(() -> ctx.connect(remote, local, promise)));
+            }
+        });
+        return pipeline;
+    }
+}
--- a/src/test/java/cobaltrack/sidecar/TestClient.java
+++ b/src/test/java/cobaltrack/sidecar/TestClient.java
@@ -37,6 +37,12 @@
                 + "\r\nRequest-Class: submit\r\nRequest-Timeout: " + timeout + "\r\nContent-Length: 3\r\n\r\nabc";
     }
 
+    static String pay(String timeout) {
+        return "POST /api HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: r" + ids++
+                + "\r\nRequest-Class: pay\r\nIdempotency-Key: k" + ids + "\r\nRequest-Timeout: " + timeout
+                + "\r\nContent-Length: 3\r\n\r\nabc";
+    }
+
     Answer ask(String text) throws IOException {
         send(text);
         return read();
--- a/src/test/java/cobaltrack/sidecar/TestNode.java
+++ b/src/test/java/cobaltrack/sidecar/TestNode.java
@@ -1,18 +1,25 @@
 package cobaltrack.sidecar;
 
+import cobaltrack.Contract;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.Channel;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** A whole sidecar in this process, on a free port, from a configuration as the platform gives it. */
 final class TestNode implements AutoCloseable {
     final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     final ClientServer server;
+    final Sidecar sidecar;
     final Discovery watch;
     final int port;
+    private final AtomicLong ahead = new AtomicLong();
 
     /** A sidecar with plenty of sockets that knows these endpoints, named s0, s1 and so on. */
     TestNode(String discovery, String... endpoints) throws Exception {
@@ -21,13 +28,18 @@
 
     /** A sidecar with so many sockets, whose list is asked for or pushed. */
     TestNode(int sockets, String discovery, String how, String... endpoints) throws Exception {
-        String json = config("127.0.0.1:0", discovery, sockets, endpoints)
-                .replace("\"discovery\":\"ask\"", "\"discovery\":\"" + how + "\"");
+        this(config("127.0.0.1:0", discovery, sockets, endpoints)
+                .replace("\"discovery\":\"ask\"", "\"discovery\":\"" + how + "\""), NioSocketChannel.class);
+    }
+
+    /** A sidecar of this configuration, with this kind of connections to endpoints. */
+    TestNode(String json, Class<? extends Channel> channels) throws Exception {
         ObjectMapper mapper = new ObjectMapper();
         Config config = Config.parse(json, mapper);
         var loop = group.next();
-        Main.Parts parts = Main.wire(config, mapper, loop);
+        Main.Parts parts = Main.wire(config, mapper, loop, new Clock(() -> System.nanoTime() + ahead.get()), channels);
         server = parts.server();
+        sidecar = parts.sidecar();
         watch = parts.discovery();
         port = ((InetSocketAddress) server.listen(config.listen()).sync().channel().localAddress()).getPort();
         loop.submit(parts.start()).get();
@@ -65,6 +77,40 @@
                 .formatted(listen, discovery, sockets, list(41, true, hosts));
     }
 
+    /** Sets the clock on, by so many milliseconds; timers that run go on as they are. */
+    void advance(long millis) {
+        ahead.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
+    }
+
+    /** Waits until all that the loop was given before has been done. */
+    void turn() throws Exception {
+        call(() -> null);
+    }
+
+    <T> T call(Callable<T> task) throws Exception {
+        return group.next().submit(task).get(FakeServer.PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    /** Waits on the loop for what must come true. */
+    void await(Callable<Boolean> condition) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakeServer.PATIENCE_S);
+        while (!call(condition)) {
+            if (System.nanoTime() > until) {
+                throw new AssertionError("never came true");
+            }
+            Thread.sleep(1);
+        }
+    }
+
+    /** Tells the sidecar a list, as discovery would. */
+    void tell(boolean whole, String... hosts) throws Exception {
+        EndpointList list = EndpointList.parse(new ObjectMapper().readTree(list(50, whole, hosts)));
+        call(() -> {
+            sidecar.list(whole ? Contract.ListKind.FULL : Contract.ListKind.CHANGES, list);
+            return null;
+        });
+    }
+
     TestClient client() throws IOException {
         return new TestClient(port);
     }
