Read lists by their JSON, and break a silent watch in time for what it misses

Seen: lists were framed by line (LineBasedFrameDecoder in Discovery), so an indented one was taken for nonsense line by line and the watch given up for ever; ReadTimeoutHandler counted any byte as life, so bytes that trickle kept a dead watch; silence took 5 s to notice, then up to 1 s to connect and the module's back-off and spread of another 1.5 s at a hundred sidecars, over the 6 s after which it counts as told; after a SIGHUP the back-off grown at the old address delayed the first call at the new one by up to 7 s of the 4; where lists are pushed, the agent was asked again only every 2 to 6 s after an outage, though what it hears at its return counts at once; and the module asked only at its next period, a tenth of the shortest aim, which for slow classes alone is seconds.

Ruled out: a shorter read time-out alone. All watches that fall silent together would then ask together, and the trickle would stay.

Now: ListReader takes objects from Jackson's own incremental parser and bounds what one may hold; a watch is broken when nothing complete and no empty line has come for 2.6 to 3.6 s, by chance of its own; the module is told SILENT or MOVED apart from FAILED and decides how soon to ask (at once; within a second; with back-off). A list that can't be read is one log line until the next good one. When to ask stays the module's decision.

--- a/src/main/java/cobaltrack/Contract.java
+++ b/src/main/java/cobaltrack/Contract.java
@@ -49,7 +49,11 @@
         /** Every server as last known at start, perhaps long out of date. */
         STALE,
         /** No entries: a call failed or the subscription broke. The old list stands. */
-        FAILED
+        FAILED,
+        /** No entries: nothing came on the subscription for too long, by each sidecar's own measure. */
+        SILENT,
+        /** No entries: the list is to be had elsewhere from now on, for all sidecars at once. */
+        MOVED
     }
 
     /** How load reports reach the sidecar. */
--- a/src/main/java/cobaltrack/Decide.java
+++ b/src/main/java/cobaltrack/Decide.java
@@ -134,8 +134,11 @@
     // one that has not asked counts as told.
     private static final double ASK_EACH = 10;
     private static final double ASK_SPREAD_MOST = 0.4;
+    // A move is told 4 s later; two calls that wait their turn must fit behind the spread.
+    private static final double MOVE_SPREAD_MOST = 1000;
 
     private static final double SECOND = 1000;
+    private static final double GRAIN = 0.01;
 
     private final Contract.Settings settings;
     private final Contract.Actions out;
@@ -166,6 +169,7 @@
     private boolean asked;
     private double startedAt;
     private double lastWake;
+    private double periodAt;
     // What the subset holds when well, for the traffic it lately got; what it does hold; the size for that.
     private double width;
     private double held;
@@ -314,23 +318,30 @@
         startedAt = now;
         lastWake = now;
         if (settings.listMustBeAsked()) {
-            askAt = now + askSpread() * random.nextDouble();
+            askLater(now, askSpread());
         }
-        out.wake(now + period * (0.5 + random.nextDouble()));
+        nextPeriod(now, period * (0.5 + random.nextDouble()));
     }
 
     // --- following the list ----------------------------------------------------------------------
 
     @Override
     public void servers(double now, Contract.ListKind kind, List<Contract.Server> entries) {
+        if (kind == Contract.ListKind.SILENT || kind == Contract.ListKind.MOVED) {
+            // No sign of a service in trouble: what it has to tell soon counts as told. The silence has been
+            // noticed spread over time; a move comes to all at once.
+            askWait = ASK_FIRST;
+            askLater(now, kind == Contract.ListKind.SILENT ? 0 : Math.min(MOVE_SPREAD_MOST, askSpread()));
+            return;
+        }
         if (kind == Contract.ListKind.FAILED) {
             // A list service that starts or comes back must not be met by every sidecar at once: it would
             // turn most away, and they would keep it so. Spread by their number, and doubled waits.
-            askAt = now + askWait * (0.5 + random.nextDouble()) + askSpread() * random.nextDouble();
+            askLater(now + askWait * (0.5 + random.nextDouble()), askSpread());
             if (askWait == ASK_FIRST) {
                 out.log("server list out of reach: deciding on the last one");
             }
-            askWait = Math.min(ASK_LONGEST, askWait * 2);
+            askWait = Math.min(Math.min(ASK_LONGEST, settings.obligations().askWithin()), askWait * 2);
             return;
         }
         if (kind != Contract.ListKind.STALE && asked) {
@@ -354,6 +365,11 @@
         pickSubset(now);
     }
 
+    private void askLater(double from, double spread) {
+        askAt = from + spread * random.nextDouble();
+        out.wake(askAt);
+    }
+
     private double askSpread() {
         return Math.min(settings.obligations().askWithin() * ASK_SPREAD_MOST, settings.sidecars() * ASK_EACH);
     }
@@ -917,6 +933,23 @@
 
     @Override
     public void wake(double now) {
+        if (askAt <= now) {
+            askAt = Double.NaN;
+            asked = true;
+            out.watchServers();
+        }
+        if (now >= periodAt) {
+            step(now);
+        }
+    }
+
+    private void nextPeriod(double now, double in) {
+        periodAt = now + in;
+        // Asked for a little later, by less than any clock's grain, so that it is never found too early.
+        out.wake(periodAt + GRAIN);
+    }
+
+    private void step(double now) {
         double span = Math.max(1, now - lastWake);
         lastWake = now;
         updateMix();
@@ -955,12 +988,7 @@
         learnWarmRate(now);
         weigh();
         probe(now);
-        if (askAt <= now) {
-            askAt = Double.NaN;
-            asked = true;
-            out.watchServers();
-        }
-        out.wake(now + period * (0.9 + 0.2 * random.nextDouble()));
+        nextPeriod(now, period * (0.9 + 0.2 * random.nextDouble()));
     }
 
     private void updateMix() {
--- a/src/main/java/cobaltrack/sidecar/Discovery.java
+++ b/src/main/java/cobaltrack/sidecar/Discovery.java
@@ -1,10 +1,9 @@
 package cobaltrack.sidecar;
 
 import cobaltrack.Contract;
-import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -14,7 +13,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -25,58 +23,81 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.NetUtil;
+import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * The watch on the list of endpoints. Where discovery is asked, the module decides when to ask again after a
  * failure; where lists are pushed it does not ask at all, and the watch on the local agent is renewed here.
  */
 final class Discovery {
-    /** Hears of lists, and of calls that failed. */
+    /** Hears of lists, and of what keeps them from coming. */
     interface Listener {
         void list(Contract.ListKind kind, EndpointList list);
 
-        void outOfReach();
+        /** There is no watch any more: {@code FAILED}, {@code SILENT} or {@code MOVED}. */
+        void noWatch(Contract.ListKind why);
     }
 
     private static final String PATH = "/registry/instances";
     private static final int CONNECT_TIMEOUT_MS = 1000;
-    /** An empty line is due every 2 s; a watch silent for longer than two of them is broken. */
-    private static final long SILENT_MS = 5000;
-    /** A whole list of some thousand endpoints is still one line. */
-    private static final int LINE_MOST = 1 << 20;
+    /**
+     * An empty line is due every 2 s, and what a silent watch misses counts as told 6 s after: one that shows no
+     * life for this long is broken, which leaves time for another call that has to wait its turn. Chance spreads
+     * the calls of all sidecars whose watches fell silent together.
+     */
+    private static final double SILENT_MS = 2600;
+    private static final double SILENT_SPREAD_MS = 1000;
+    private static final long LOOK_MS = 100;
     private static final double BACKOFF_FIRST_MS = 100;
     private static final double BACKOFF_MOST_MS = 4000;
+    /** Of the grace that a drain allows: what the local agent has counts as told, whether it is heard or not. */
+    private static final double PUSHED_SHARE = 0.2;
 
     private final EventLoop loop;
+    private final Clock clock;
     private final ObjectMapper mapper;
     private final boolean pushed;
+    private final double backoffMost;
     private final Random random;
     private final Listener listener;
+    private final Consumer<String> log;
     private final Bootstrap bootstrap;
     private InetSocketAddress address;
     private Long seq;
     /** The watch under way; others that have not ended yet are no longer heeded. */
     private Call current;
     private double backoff = BACKOFF_FIRST_MS;
+    /** True from a list that can't be read to the next good one: it is told once. */
+    private boolean spoilt;
 
     /** A watch that has not begun. {@code known} is the list to hear changes of, or null. */
-    Discovery(EventLoop loop, InetSocketAddress address, ObjectMapper mapper, boolean pushed, long seed,
-              EndpointList known, Listener listener) {
+    Discovery(EventLoop loop, Clock clock, InetSocketAddress address, ObjectMapper mapper,
+              Contract.Settings settings, long seed, EndpointList known, Listener listener, Consumer<String> log) {
         this.loop = loop;
+        this.clock = clock;
         this.address = address;
         this.mapper = mapper;
-        this.pushed = pushed;
+        this.pushed = !settings.listMustBeAsked();
+        this.backoffMost = Math.min(BACKOFF_MOST_MS,
+                Math.max(1, settings.obligations().drainGrace() * PUSHED_SHARE));
         this.random = new Random(seed);
         this.seq = known == null ? null : known.seq();
         this.listener = listener;
+        this.log = log;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
+        loop.scheduleAtFixedRate(this::lookForSilence, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void lookForSilence() {
+        if (current != null && clock.now() - current.aliveAt > current.patience) {
+            lost(current, Contract.ListKind.SILENT);
+        }
     }
 
     /** Begins a watch, unless one is under way. */
@@ -84,27 +105,26 @@
         if (current != null) {
             return;
         }
-        Call call = new Call();
+        Call call = new Call(SILENT_MS + SILENT_SPREAD_MS * random.nextDouble());
         current = call;
         ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
-                channel.pipeline().addLast(new ReadTimeoutHandler(SILENT_MS, TimeUnit.MILLISECONDS),
-                        new HttpClientCodec(), call, new LineBasedFrameDecoder(LINE_MOST), new Lines(call));
+                channel.pipeline().addLast(new HttpClientCodec(), call);
             }
         }).connect(address);
         call.channel = connecting.channel();
         connecting.addListener(f -> {
             if (!f.isSuccess()) {
-                failed(call);
+                lost(call, Contract.ListKind.FAILED);
             }
         });
     }
 
     /**
-     * Moves the watch to another address at once; the old list stands until the new one has come. The whole
-     * list is asked for, since another service's versions may be counted otherwise, and no change must be
-     * missed.
+     * Moves the watch to another address; the old list stands until the new one has come. The whole list is asked
+     * for, since another service's versions may be counted otherwise, and no change must be missed. What failed
+     * at the old address delays nothing at the new one.
      */
     void move(InetSocketAddress next) {
         if (next.equals(address)) {
@@ -112,33 +132,54 @@
         }
         address = next;
         seq = null;
-        Call old = current;
+        backoff = BACKOFF_FIRST_MS;
         // The end of the old watch is meant and no failure, and what it still has to say is out of date.
+        Call old = current;
         current = null;
         if (old != null) {
             old.channel.close();
         }
-        watch();
+        if (pushed) {
+            watch();
+        } else {
+            listener.noWatch(Contract.ListKind.MOVED);
+        }
     }
 
-    private void failed(Call call) {
+    // The one way on which a watch ends unmeant.
+    private void lost(Call call, Contract.ListKind why) {
         if (call != current) {
             return;
         }
         current = null;
-        if (pushed) {
-            double wait = backoff * (0.5 + random.nextDouble());
-            backoff = Math.min(BACKOFF_MOST_MS, backoff * 2);
-            loop.schedule(this::watch, (long) wait, TimeUnit.MILLISECONDS);
+        call.channel.close();
+        if (!pushed) {
+            listener.noWatch(why);
+        } else if (why == Contract.ListKind.SILENT) {
+            watch();
         } else {
-            listener.outOfReach();
+            loop.schedule(this::watch, (long) pushedWait(), TimeUnit.MILLISECONDS);
         }
     }
 
-    /** The call itself: asks once connected, and passes on the bytes of the answer's body. */
+    /** How long to wait before the local agent is asked again. */
+    double pushedWait() {
+        double wait = Math.min(backoffMost, backoff) * (0.5 + random.nextDouble());
+        backoff *= 2;
+        return wait;
+    }
+
+    /** The call itself: asks once connected, and reads lists until its connection ends or shows no life. */
     private final class Call extends SimpleChannelInboundHandler<HttpObject> {
+        private final double patience;
+        private final ListReader reader = new ListReader(mapper);
+        private double aliveAt = clock.now();
         private Channel channel;
 
+        private Call(double patience) {
+            this.patience = patience;
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             String uri = PATH + "?watch=1" + (seq == null ? "" : "&after=" + seq);
@@ -150,58 +191,58 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+            if (this != current) {
+                return;
+            }
             if (message.decoderResult().isFailure()
                     || message instanceof HttpResponse r && !r.status().equals(HttpResponseStatus.OK)) {
-                ctx.close();
+                lost(this, Contract.ListKind.FAILED);
                 return;
             }
             if (message instanceof HttpContent part) {
-                ctx.fireChannelRead(part.content().retain());
+                read(part);
             }
             if (message instanceof LastHttpContent) {
-                ctx.close();
+                lost(this, Contract.ListKind.FAILED);
             }
         }
 
-        @Override
-        public void channelInactive(ChannelHandlerContext ctx) {
-            failed(this);
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
-        }
-    }
-
-    /** The lines of the answer, one list or change each. */
-    private final class Lines extends SimpleChannelInboundHandler<ByteBuf> {
-        private final Call call;
-
-        private Lines(Call call) {
-            this.call = call;
+        // Guards against nonsense: the old list stands, and the next call asks from the last good version.
+        private void read(HttpContent part) {
+            try {
+                if (reader.read(part.content(), this::take)) {
+                    aliveAt = clock.now();
+                }
+            } catch (IOException | IllegalArgumentException e) {
+                if (this == current && !spoilt) {
+                    spoilt = true;
+                    log.accept("server list not taken over: " + e.getMessage().lines().findFirst().orElse(""));
+                }
+                lost(this, Contract.ListKind.FAILED);
+            }
         }
 
-        @Override
-        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
-            String text = line.toString(StandardCharsets.UTF_8);
-            if (text.isBlank() || call != current || !ctx.channel().isActive()) {
+        private void take(JsonNode object) {
+            if (this != current) {
                 return;
             }
-            EndpointList list;
-            try {
-                list = EndpointList.parse(mapper.readTree(text));
-            } catch (JsonProcessingException | IllegalArgumentException e) {
-                // Guards against nonsense: the old list stands, and the next call asks from the last good
-                // version.
-                ctx.close();
-                return;
+            EndpointList list = EndpointList.parse(object);
+            if (!list.whole() && seq != null && list.seq() < seq) {
+                // A service that counts anew: what it calls changed is not all that has, since our list.
+                seq = null;
+                throw new IllegalArgumentException("it goes back in its version; the whole is asked for");
             }
             seq = list.seq();
             backoff = BACKOFF_FIRST_MS;
+            spoilt = false;
             listener.list(list.whole() ? Contract.ListKind.FULL : Contract.ListKind.CHANGES, list);
         }
 
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            lost(this, Contract.ListKind.FAILED);
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             ctx.close();
--- a/src/main/java/cobaltrack/sidecar/Main.java
+++ b/src/main/java/cobaltrack/sidecar/Main.java
@@ -87,8 +87,8 @@
         EndpointPool pool = new EndpointPool(loop, channels, clock, config.connectTimeout(),
                 config.endpointIdle(), Math.max(1, config.sockets() * ENDPOINT_SHARE / SHARES));
         Sidecar sidecar = new Sidecar(loop, clock, config.settings(), config.seed(), pool, Main::log);
-        Discovery discovery = new Discovery(loop, config.discovery(), mapper,
-                !config.settings().listMustBeAsked(), config.seed(), config.known(), sidecar);
+        Discovery discovery = new Discovery(loop, clock, config.discovery(), mapper, config.settings(),
+                config.seed(), config.known(), sidecar, Main::log);
         ClientServer server = new ClientServer(loop, clock, sidecar, config.settings(),
                 Math.max(1, config.sockets() * CLIENT_SHARE / SHARES));
         return new Parts(server, sidecar, discovery, () -> {
--- a/src/main/java/cobaltrack/sidecar/Sidecar.java
+++ b/src/main/java/cobaltrack/sidecar/Sidecar.java
@@ -86,8 +86,8 @@
     }
 
     @Override
-    public void outOfReach() {
-        tell(() -> module.servers(clock.now(), Contract.ListKind.FAILED, List.of()));
+    public void noWatch(Contract.ListKind why) {
+        tell(() -> module.servers(clock.now(), why, List.of()));
     }
 
     /** Takes a request; the client is told its end exactly once. */
--- a/src/test/java/cobaltrack/ControllerTest.java
+++ b/src/test/java/cobaltrack/ControllerTest.java
@@ -209,6 +209,34 @@
         assertTrue(within > over * 1.2, "the tenant within its share " + within + ", the one over it " + over);
     }
 
+    @Test
+    void aSilentSubscriptionIsAskedAgainAtOnceAndAMoveWithinASecondHoweverLongItFailedBefore() {
+        for (int seed = 0; seed < 20; seed++) {
+            Contract.Settings s = Rig.settings(false, new Contract.RequestClass("slow", 1, 0, 60_000, 90_000,
+                    Contract.Effect.SAFE, Contract.Group.ALL, 0, false));
+            // A period is as long as the wait would be: the list must not be late for the controller's pace.
+            Rig rig = new Rig(new Contract.Settings(s.classes(), s.tenants(), 1, s.limits(), s.obligations(),
+                    s.reporting(), true, 1000, 0), seed);
+            rig.module.start(0);
+            rig.module.servers(0, Contract.ListKind.STALE, Rig.fleet(4));
+            rig.runTo(4000);
+            assertEquals(1, rig.watches);
+            double now = 4000;
+            for (int i = 0; i < 8; i++) {
+                rig.module.servers(now, Contract.ListKind.FAILED, List.of());
+                now += 11_000;
+                rig.runTo(now);
+            }
+            assertEquals(9, rig.watches);
+            rig.module.servers(now, Contract.ListKind.MOVED, List.of());
+            rig.runTo(now + 1000);
+            assertEquals(10, rig.watches);
+            rig.module.servers(now + 2000, Contract.ListKind.SILENT, List.of());
+            rig.runTo(now + 2000);
+            assertEquals(11, rig.watches);
+        }
+    }
+
     @Test
     void aBrokenSubscriptionIsAskedAgainAtSpreadOutTimes() {
         Set<Double> first = new HashSet<>();
--- a/src/test/java/cobaltrack/Rig.java
+++ b/src/test/java/cobaltrack/Rig.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 
 /** A scripted sidecar: collects the module's actions and lets a test answer them one by one. */
 final class Rig implements Contract.Actions {
@@ -15,7 +16,7 @@
     final List<String> probes = new ArrayList<>();
     final List<double[]> cancels = new ArrayList<>();
     int watches;
-    double wakeAt = Double.NaN;
+    private final PriorityQueue<Double> wakes = new PriorityQueue<>();
     double lastRetryAfter = Double.NaN;
     double lastWithin = Double.NaN;
     final Decide module;
@@ -108,10 +109,9 @@
 
     /** Wakes the module whenever it asked for it, up to a time. */
     void runTo(double until) {
-        while (wakeAt <= until) {
-            double at = wakeAt;
+        while (!wakes.isEmpty() && wakes.peek() <= until) {
+            double at = wakes.poll();
             this.now = at;
-            wakeAt = Double.NaN;
             module.wake(at);
         }
     }
@@ -192,7 +192,7 @@
 
     @Override
     public void wake(double at) {
-        wakeAt = at;
+        wakes.add(at);
         actions.add("wake " + at);
     }
 
