Hold a request's id for as long as an attempt for it is out

Seen by reading (ClientConnection.letGo and ClientServer.openIds): the id was free as soon as the client let go, while Sidecar.Held lives on until its attempts have ended. Where the settings allow no cancelling, a client that left and came again with the same id, unsafe class and all, had a second attempt out beside the first, which the check on open ids is there to prevent. Ruled out: the module, which never sees the id.

Now the ids belong to the one that holds the requests: taken in Sidecar.take, freed where a request is let go. With the id freed at the client's leaving the new test in AttemptTest gets a second attempt instead of a 400.

--- a/src/main/java/cobaltrack/sidecar/ClientConnection.java
+++ b/src/main/java/cobaltrack/sidecar/ClientConnection.java
@@ -68,7 +68,6 @@
     private RequestCheck.Checked checked;
     private boolean complete;
     private Sidecar.Held held;
-    private String heldId;
 
     ClientConnection(ClientServer server, Clock clock) {
         this.server = server;
@@ -174,20 +173,12 @@
 
     private void giveUp() {
         Sidecar.Held gone = held;
-        letGo();
+        held = null;
         if (gone != null) {
             gone.abandon();
         }
     }
 
-    private void letGo() {
-        held = null;
-        if (heldId != null) {
-            server.ended(heldId);
-            heldId = null;
-        }
-    }
-
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         ctx.close();
@@ -253,12 +244,12 @@
 
     private void take() {
         RequestCheck.Checked request = checked;
-        // Guards against running what another client has asked for twice: an id that is open is not new.
-        if (!server.begun(request.id())) {
+        // Guards against running what another client has asked for twice: an id that is held is not new, also
+        // while an attempt is out for a client that has left.
+        if (server.sidecar().holds(request.id())) {
             reject(HttpResponseStatus.BAD_REQUEST);
             return;
         }
-        heldId = request.id();
         enter(Phase.OPEN);
         Sidecar.Held taken = server.sidecar().take(request, body.toByteArray(), this);
         body.reset();
@@ -315,7 +306,7 @@
     }
 
     private void write(FullHttpResponse response) {
-        letGo();
+        held = null;
         if (!HttpUtil.isKeepAlive(head) || server.draining()) {
             enter(Phase.ENDING);
             end(response);
--- a/src/main/java/cobaltrack/sidecar/ClientServer.java
+++ b/src/main/java/cobaltrack/sidecar/ClientServer.java
@@ -8,7 +8,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.SocketAddress;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -47,7 +46,6 @@
     private final double longestDeadline;
     private final int most;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
-    private final Set<String> openIds = new HashSet<>();
     private Channel listener;
     private boolean ready;
     private Runnable drained;
@@ -109,13 +107,9 @@
         return sidecar;
     }
 
-    /** Notes a request; false if one with this id is open already. */
-    boolean begun(String id) {
-        return openIds.add(id);
-    }
-
-    void ended(String id) {
-        openIds.remove(id);
+    /** Connections from the application that are open. */
+    int connections() {
+        return connections.size();
     }
 
     void opened(ClientConnection connection) {
--- a/src/main/java/cobaltrack/sidecar/Sidecar.java
+++ b/src/main/java/cobaltrack/sidecar/Sidecar.java
@@ -14,9 +14,11 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -50,6 +52,7 @@
     private final Consumer<String> log;
     private final Contract.Events module;
     private final Map<Long, Held> open = new HashMap<>();
+    private final Set<String> ids = new HashSet<>();
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
     private Runnable watch;
     private boolean telling;
@@ -90,12 +93,18 @@
         tell(() -> module.servers(clock.now(), why, List.of()));
     }
 
-    /** Takes a request; the client is told its end exactly once. */
+    /** True if a request of this id is not over, or has an attempt out that may run. */
+    boolean holds(String id) {
+        return ids.contains(id);
+    }
+
+    /** Takes a request, whose id is not held; the client is told its end exactly once. */
     Held take(RequestCheck.Checked incoming, byte[] body, Client client) {
         double left = Math.max(0, incoming.timeout() - ANSWER_MARGIN);
         Held h = new Held(new Contract.Request(nextId++, incoming.classIndex(), incoming.tenantIndex(), left,
                 incoming.repeat()), incoming, body, client);
         open.put(h.request.id, h);
+        ids.add(incoming.id());
         tell(() -> {
             double now = clock.now();
             h.endAt = now + left;
@@ -248,8 +257,8 @@
         }
 
         private void tidy() {
-            if (over && attempts.stream().allMatch(a -> a.outcome != null)) {
-                open.remove(request.id);
+            if (over && attempts.stream().allMatch(a -> a.outcome != null) && open.remove(request.id) != null) {
+                ids.remove(incoming.id());
             }
         }
 
--- a/src/test/java/cobaltrack/sidecar/AttemptTest.java
+++ b/src/test/java/cobaltrack/sidecar/AttemptTest.java
@@ -6,10 +6,13 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
@@ -249,6 +252,33 @@
         }
     }
 
+    @Test
+    void anIdIsNotTakenAgainWhileAnAttemptIsOutForTheClientThatLeft() throws Exception {
+        BlockingQueue<FakeServer.Wire> wires = new LinkedBlockingQueue<>();
+        String config = TestNode.config("127.0.0.1:0", FakeServer.refusing(), 1024, "ENDPOINT")
+                .replace("\"cancel\":true", "\"cancel\":false");
+        try (FakeServer e = new FakeServer((r, w) -> wires.add(w));
+                TestNode n = new TestNode(config.replace("ENDPOINT", e.address()), NioSocketChannel.class)) {
+            String request = TestClient.submit("50");
+            try (TestClient c = n.client()) {
+                c.send(request);
+                e.awaitRequest();
+            }
+            // The close has been seen once the connection of another client has been.
+            try (TestClient c = n.client()) {
+                n.await(() -> n.server.connections() == 1);
+                assertEquals(400, c.ask(request).status());
+            }
+            wires.take().ok("late");
+            n.await(() -> n.sidecar.held() == 0);
+            e.script(OK);
+            try (TestClient c = n.client()) {
+                assertEquals(200, c.ask(request).status());
+            }
+            assertEquals(2, e.requests.size());
+        }
+    }
+
     @Test
     void aConnectionThatTheEndpointClosedIsNotUsedAgain() throws Exception {
         try (FakeServer e = new FakeServer((r, w) -> {
