Let connections rest for longer than a second answer has been seen to be late

Answers carry nothing that tells whose they are (status and length only, in 2,300 looked at), so one that comes after the next request was written is taken for that request's answer. Ruled out: telling it by what the body holds, which the protocol does not promise; not keeping connections, which costs a handshake a request.

Now a connection rests for 50 ms, and for four times the latest second answer that came, up to a second, fading. The new test fails at a rest of 10 ms and with one that does not grow.

--- a/src/main/java/cobaltrack/sidecar/EndpointPool.java
+++ b/src/main/java/cobaltrack/sidecar/EndpointPool.java
@@ -74,8 +74,15 @@
     private static final int INTERIM_MOST = 8;
     /** An answer that has begun and brings nothing for so long will not end. */
     private static final double STALL_MS = 500;
-    /** How long a connection rests after an answer, for bytes behind it to show themselves. */
-    private static final long REST_MS = 10;
+    /**
+     * How long a connection rests after an answer, for a second one behind it to show itself: on a connection in
+     * use nothing tells it from the answer that is waited for. Longer by so much than the latest that has come.
+     */
+    private static final double REST_LEAST_MS = 50;
+    private static final double REST_MOST_MS = 1000;
+    private static final double REST_MARGIN = 4;
+    /** What a second takes off again. */
+    private static final double REST_FADE = 0.995;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -85,6 +92,7 @@
     private final Map<String, Endpoint> endpoints = new HashMap<>();
     private final ArrayDeque<Connection> resting = new ArrayDeque<>();
     private int open;
+    private double rest = REST_LEAST_MS;
 
     /**
      * A pool.
@@ -172,7 +180,13 @@
         });
     }
 
+    /** How long a connection rests now, in milliseconds. */
+    double rest() {
+        return rest;
+    }
+
     private void sweep() {
+        rest = Math.max(REST_LEAST_MS, rest * REST_FADE);
         for (Endpoint e : endpoints.values()) {
             e.idleMost = Math.min(idleMost, e.idleMost * IDLE_REGAIN);
             double before = clock.now() - e.idleMost;
@@ -327,6 +341,7 @@
         private Future<?> stall;
         private double idleSince;
         private double idleFor;
+        private double answeredAt;
 
         private Connection(Endpoint endpoint) {
             this.endpoint = endpoint;
@@ -345,6 +360,10 @@
             public void channelRead(ChannelHandlerContext ctx, Object message) {
                 if (attempt == null || attempt.over) {
                     ((ByteBuf) message).release();
+                    if (attempt == null && answeredAt > 0) {
+                        rest = Math.max(rest,
+                                Math.min(REST_MOST_MS, (clock.now() - answeredAt) * REST_MARGIN));
+                    }
                     ctx.close();
                 } else {
                     readAt = clock.now();
@@ -500,11 +519,12 @@
                 // Guards against bytes that follow a little later, which would answer the next request: the
                 // loop reads whatever has come before it runs this, so that a connection rests, however
                 // late the loop.
+                answeredAt = clock.now();
                 resting.addLast(this);
                 loop.schedule(() -> {
                     resting.remove(this);
                     release();
-                }, REST_MS, TimeUnit.MILLISECONDS);
+                }, (long) rest, TimeUnit.MILLISECONDS);
             } else {
                 channel.close();
             }
--- a/src/test/java/cobaltrack/sidecar/EndpointPoolTest.java
+++ b/src/test/java/cobaltrack/sidecar/EndpointPoolTest.java
@@ -1,6 +1,7 @@
 package cobaltrack.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cobaltrack.Contract;
 import io.netty.channel.EventLoop;
@@ -11,12 +12,15 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 
-/** The pool when there are no descriptors left. */
+/** The pool when there are no descriptors left, and when more comes than an answer. */
 class EndpointPoolTest {
     private static final AtomicBoolean EXHAUSTED = new AtomicBoolean();
 
@@ -51,6 +55,35 @@
         }
     }
 
+    @Test
+    void theLaterASecondAnswerComesTheLongerConnectionsRestAndItAnswersNobody() throws Exception {
+        EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+        BlockingQueue<FakeServer.Wire> answered = new LinkedBlockingQueue<>();
+        AtomicLong nanos = new AtomicLong(1);
+        try (FakeServer e = new FakeServer((r, w) -> {
+            w.ok("done");
+            answered.add(w);
+        })) {
+            EndpointPool pool = new EndpointPool(loop, NioSocketChannel.class, new Clock(nanos::get), 1000, 60000, 9);
+            loop.submit(() -> pool.update(new EndpointList(1, true, List.of(new EndpointList.Entry(
+                    new Contract.Server("s", Contract.Standing.UP, 1, "a", 0, 0),
+                    EndpointList.address(e.address())))))).get();
+            double before = loop.submit(pool::rest).get();
+            assertTrue(before >= 50, "some milliseconds late: " + before);
+            assertEquals(Contract.Outcome.SERVED, send(loop, pool));
+            FakeServer.Wire w = answered.take();
+            nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(90));
+            w.ok("again");
+            e.awaitEnd();
+            double after = loop.submit(pool::rest).get();
+            assertTrue(after >= 180, "as late as that, and some more: " + after);
+            assertEquals(Contract.Outcome.SERVED, send(loop, pool));
+            assertEquals(2, e.connections());
+        } finally {
+            loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        }
+    }
+
     private static Contract.Outcome send(EventLoop loop, EndpointPool pool) throws Exception {
         CompletableFuture<Contract.Outcome> ended = new CompletableFuture<>();
         loop.execute(() -> pool.send("s", new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"),
