Be ready with a pushed list only, and take but a share off a short wait

Two places that presumed this deployment, seen by reading: - Main.wire was ready before any list. Where lists are pushed, what the agent has counts as told from the first moment of a process, so the first requests went out by a list that may name servers told to drain. Now a start waits for the agent's first list, 2 s at most. Where discovery is asked nothing changes. - Sidecar.take took 25 ms off whatever a client waits; of a wait of 25 ms or less nothing was left, and no such request was ever sent. Now it is a tenth at most; waits of 250 ms and more keep the 25 ms.

Both new tests fail on the state before.

--- a/src/main/java/cobaltrack/sidecar/Main.java
+++ b/src/main/java/cobaltrack/sidecar/Main.java
@@ -7,6 +7,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The command line: {@code serve} runs a real sidecar, {@code check} only starts one and stops it again, and
@@ -24,6 +25,8 @@
      */
     private static final int ENDPOINT_SHARE = 6;
     private static final int SHARES = 16;
+    /** How long a start waits for a pushed list; with the agent out of reach the last one known must do. */
+    private static final long LISTED_MOST_MS = 2000;
 
     private Main() { }
 
@@ -92,8 +95,15 @@
         ClientServer server = new ClientServer(loop, clock, sidecar, config.settings(),
                 Math.max(1, config.sockets() * CLIENT_SHARE / SHARES));
         return new Parts(server, sidecar, discovery, () -> {
+            if (config.settings().listMustBeAsked()) {
+                server.ready();
+            } else {
+                // What the local agent has counts as told from the start: the list that the file brings is not
+                // to be served by before the agent's has come, unless there is none to be had.
+                sidecar.whenListed(server::ready);
+                loop.schedule(server::ready, LISTED_MOST_MS, TimeUnit.MILLISECONDS);
+            }
             sidecar.start(discovery::watch, config.known());
-            server.ready();
         });
     }
 
--- a/src/main/java/cobaltrack/sidecar/Sidecar.java
+++ b/src/main/java/cobaltrack/sidecar/Sidecar.java
@@ -36,12 +36,17 @@
         void failed();
     }
 
-    /** Taken off what the client waits, for its request's way here, our answer's way back and a late loop. */
+    /**
+     * Taken off what the client waits, for its request's way here, our answer's way back and a late loop; of a
+     * short wait no more than this share.
+     */
     private static final double ANSWER_MARGIN = 25;
+    private static final double ANSWER_SHARE = 0.1;
     /**
-     * How long after its deadline a request is failed that the module, told of the deadline, has not ended.
+     * Of that margin, how long after its deadline a request is failed that the module, told of the deadline, has
+     * not ended.
      */
-    private static final double MODULE_GRACE = 5;
+    private static final double MODULE_GRACE = 0.2;
     private static final double MILLIS = 1000;
     private static final double NANOS_IN_MILLI = 1e6;
 
@@ -55,6 +60,7 @@
     private final Set<String> ids = new HashSet<>();
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
     private Runnable watch;
+    private Runnable whenListed = () -> { };
     private boolean telling;
     private long nextId;
 
@@ -82,10 +88,19 @@
         }
     }
 
+    /** Has this run once discovery's first list has come. */
+    void whenListed(Runnable task) {
+        whenListed = task;
+    }
+
     @Override
     public void list(Contract.ListKind kind, EndpointList list) {
         pool.update(list);
         tell(() -> module.servers(clock.now(), kind, list.servers()));
+        if (kind != Contract.ListKind.STALE) {
+            whenListed.run();
+            whenListed = () -> { };
+        }
     }
 
     @Override
@@ -93,6 +108,11 @@
         tell(() -> module.servers(clock.now(), why, List.of()));
     }
 
+    /** What is taken off a client's wait of so long. */
+    static double margin(double timeout) {
+        return Math.min(ANSWER_MARGIN, timeout * ANSWER_SHARE);
+    }
+
     /** True if a request of this id is not over, or has an attempt out that may run. */
     boolean holds(String id) {
         return ids.contains(id);
@@ -100,7 +120,8 @@
 
     /** Takes a request, whose id is not held; the client is told its end exactly once. */
     Held take(RequestCheck.Checked incoming, byte[] body, Client client) {
-        double left = Math.max(0, incoming.timeout() - ANSWER_MARGIN);
+        double margin = margin(incoming.timeout());
+        double left = incoming.timeout() - margin;
         Held h = new Held(new Contract.Request(nextId++, incoming.classIndex(), incoming.tenantIndex(), left,
                 incoming.repeat()), incoming, body, client);
         open.put(h.request.id, h);
@@ -108,7 +129,7 @@
         tell(() -> {
             double now = clock.now();
             h.endAt = now + left;
-            h.deadline = after(left + MODULE_GRACE, h::endUnserved);
+            h.deadline = after(left + margin * MODULE_GRACE, h::endUnserved);
             module.request(now, h.request);
         });
         return h;
--- a/src/test/java/cobaltrack/sidecar/AttemptTest.java
+++ b/src/test/java/cobaltrack/sidecar/AttemptTest.java
@@ -252,6 +252,12 @@
         }
     }
 
+    @Test
+    void ofAShortWaitMostIsLeftForTheAttempt() {
+        assertEquals(2, Sidecar.margin(20), 1e-9);
+        assertEquals(25, Sidecar.margin(1000), 1e-9);
+    }
+
     @Test
     void anIdIsNotTakenAgainWhileAnAttemptIsOutForTheClientThatLeft() throws Exception {
         BlockingQueue<FakeServer.Wire> wires = new LinkedBlockingQueue<>();
--- a/src/test/java/cobaltrack/sidecar/DiscoveryTest.java
+++ b/src/test/java/cobaltrack/sidecar/DiscoveryTest.java
@@ -114,6 +114,30 @@
         }
     }
 
+    @Test
+    void whereListsArePushedASidecarIsReadyOnlyWithTheFirstOne() throws Exception {
+        CountDownLatch tell = new CountDownLatch(1);
+        String health = "GET /health/ready HTTP/1.1\r\n\r\n";
+        try (FakeServer e = new FakeServer((r, w) -> w.ok("done"));
+                FakeServer d = new FakeServer((r, w) -> {
+                    await(tell);
+                    w.text(WATCH + chunk(TestNode.list(42, false)));
+                });
+                TestNode n = new TestNode(1024, d.address(), "push", e.address()); TestClient c = n.client()) {
+            assertEquals(503, c.ask(health).status());
+            tell.countDown();
+            n.await(n.server::serving);
+            assertEquals(200, c.ask(health).status());
+        }
+        // With the agent out of reach it is ready all the same, a little later.
+        try (TestNode n = new TestNode(1024, FakeServer.refusing(), "push", FakeServer.refusing());
+                TestClient c = n.client()) {
+            assertEquals(503, c.ask(health).status());
+            n.await(n.server::serving);
+            assertEquals(200, c.ask(health).status());
+        }
+    }
+
     @Test
     void theWatchMovesWithTheConfigurationAndTheOldOneIsNotHeeded(@TempDir Path dir) throws Exception {
         List<String> log = new CopyOnWriteArrayList<>();
