End the start with one line where two classes or tenants have one name

Seen by reading SettingsReader: of two classes of one name the last won for every request, and the other's effect, deadline and worth never applied; an unsafe class could so be repeated as a safe one. Now that is one plain line and exit 1, as is an aim over its deadline, which had no test. ProcessTest fails without it.

--- a/src/main/java/cobaltrack/SettingsReader.java
+++ b/src/main/java/cobaltrack/SettingsReader.java
@@ -27,6 +27,7 @@
         for (int i = 0; i < n; i++) {
             classes.add(requestClass("classes." + i + "."));
         }
+        once("classes", classes.stream().map(Contract.RequestClass::name).toList());
         List<Contract.Tenant> tenants = new ArrayList<>();
         int t = pairs.containsKey("tenants.count") ? whole("tenants.count", 0) : 0;
         for (int i = 0; i < t; i++) {
@@ -34,6 +35,7 @@
             tenants.add(new Contract.Tenant(word(at + "name"), number(at + "share", 0, 1),
                     number(at + "quota_per_s", 0, 1e12)));
         }
+        once("tenants", tenants.stream().map(Contract.Tenant::name).toList());
         int sidecars = whole("peers_total", 1);
         int ordinal = whole("ordinal", 0);
         if (ordinal >= sidecars) {
@@ -55,6 +57,13 @@
                 ordinal);
     }
 
+    // Requests name their class and tenant: of two of one name one would never be meant.
+    private static void once(String what, List<String> names) {
+        if (names.stream().distinct().count() < names.size()) {
+            throw fault(what, "has a name twice");
+        }
+    }
+
     private Contract.RequestClass requestClass(String at) {
         Contract.Effect effect = switch (word(at + "effect")) {
             case "idempotent" -> Contract.Effect.SAFE;
--- a/src/test/java/cobaltrack/sidecar/ProcessTest.java
+++ b/src/test/java/cobaltrack/sidecar/ProcessTest.java
@@ -49,7 +49,11 @@
     void missingOrMalformedConfigurationIsOneLineAndAFailedExit() throws Exception {
         Path malformed = Files.writeString(dir.resolve("c.json"), "{");
         Path errors = dir.resolve("err");
-        for (Path config : new Path[] {null, dir.resolve("absent.json"), malformed}) {
+        Path twice = Files.writeString(dir.resolve("d.json"), TestNode.config("127.0.0.1:0", FakeServer.refusing(),
+                1024).replace("\"submit\"", "\"status\""));
+        Path late = Files.writeString(dir.resolve("e.json"), TestNode.config("127.0.0.1:0", FakeServer.refusing(),
+                1024).replace("\"slo\":1000", "\"slo\":90000"));
+        for (Path config : new Path[] {null, dir.resolve("absent.json"), malformed, twice, late}) {
             Process p = start(config, errors);
             assertNotEquals(0, exit(p));
             assertEquals(1, Files.readAllLines(errors).size(), Files.readString(errors));
