Use no connection twice for a while once a second answer has come

Now a second answer that comes on a connection without a request makes the pool distrust all used connections for 30 s: each serves one request and closes. Otherwise connections rest for 30 ms. Ruled out: distrust after bytes that come in one read with the answer, which are told apart and common where answers come spoilt. The test fails without the distrust: the idle connection is used again.

--- a/src/main/java/cobaltrack/sidecar/EndpointPool.java
+++ b/src/main/java/cobaltrack/sidecar/EndpointPool.java
@@ -74,15 +74,13 @@
     private static final int INTERIM_MOST = 8;
     /** An answer that has begun and brings nothing for so long will not end. */
     private static final double STALL_MS = 500;
+    /** How long a connection rests after an answer, for a second one behind it to show itself. */
+    private static final long REST_MS = 30;
     /**
-     * How long a connection rests after an answer, for a second one behind it to show itself: on a connection in
-     * use nothing tells it from the answer that is waited for. Longer by so much than the latest that has come.
+     * How long no connection is used twice after a second answer has come: once the next request is written,
+     * nothing tells a late one from the answer that is waited for, however long a connection rested before.
      */
-    private static final double REST_LEAST_MS = 50;
-    private static final double REST_MOST_MS = 1000;
-    private static final double REST_MARGIN = 4;
-    /** What a second takes off again. */
-    private static final double REST_FADE = 0.995;
+    private static final double DISTRUST_MS = 30_000;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -92,7 +90,7 @@
     private final Map<String, Endpoint> endpoints = new HashMap<>();
     private final ArrayDeque<Connection> resting = new ArrayDeque<>();
     private int open;
-    private double rest = REST_LEAST_MS;
+    private double distrustUntil = Double.NEGATIVE_INFINITY;
 
     /**
      * A pool.
@@ -145,7 +143,7 @@
             attempt.end(Contract.Outcome.NEVER_SENT, null, null);
             return attempt;
         }
-        Connection idle = endpoint.takeIdle(clock.now());
+        Connection idle = endpoint.takeIdle(clock.now(), trusted());
         if (idle != null) {
             idle.begin(attempt);
         } else if (open < most || closeOldestIdle()) {
@@ -180,13 +178,11 @@
         });
     }
 
-    /** How long a connection rests now, in milliseconds. */
-    double rest() {
-        return rest;
+    private boolean trusted() {
+        return clock.now() >= distrustUntil;
     }
 
     private void sweep() {
-        rest = Math.max(REST_LEAST_MS, rest * REST_FADE);
         for (Endpoint e : endpoints.values()) {
             e.idleMost = Math.min(idleMost, e.idleMost * IDLE_REGAIN);
             double before = clock.now() - e.idleMost;
@@ -236,10 +232,10 @@
             closeIdle();
         }
 
-        // The one used last, so that those beyond need grow old and are closed.
-        Connection takeIdle(double now) {
+        // The one used last, so that those beyond need grow old and are closed; one that was used only if trusted.
+        Connection takeIdle(double now, boolean trusted) {
             Connection c = idle.pollLast();
-            while (c != null && (!c.channel.isActive() || c.idleSince < now - idleMost)) {
+            while (c != null && (!c.channel.isActive() || c.idleSince < now - idleMost || c.used && !trusted)) {
                 c.channel.close();
                 c = idle.pollLast();
             }
@@ -332,6 +328,7 @@
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private Channel channel;
         private Attempt attempt;
+        private boolean used;
         private boolean written;
         private HttpResponse head;
         private int interim;
@@ -341,7 +338,6 @@
         private Future<?> stall;
         private double idleSince;
         private double idleFor;
-        private double answeredAt;
 
         private Connection(Endpoint endpoint) {
             this.endpoint = endpoint;
@@ -360,9 +356,8 @@
             public void channelRead(ChannelHandlerContext ctx, Object message) {
                 if (attempt == null || attempt.over) {
                     ((ByteBuf) message).release();
-                    if (attempt == null && answeredAt > 0) {
-                        rest = Math.max(rest,
-                                Math.min(REST_MOST_MS, (clock.now() - answeredAt) * REST_MARGIN));
+                    if (attempt == null) {
+                        distrustUntil = clock.now() + DISTRUST_MS;
                     }
                     ctx.close();
                 } else {
@@ -386,6 +381,7 @@
 
         private void write(Attempt a) {
             attempt = a;
+            used = true;
             a.connection = this;
             written = false;
             head = null;
@@ -405,7 +401,7 @@
         }
 
         private void release() {
-            if (channel.isActive() && !endpoint.ended) {
+            if (channel.isActive() && !endpoint.ended && (trusted() || !used)) {
                 idleSince = clock.now();
                 endpoint.idle.addLast(this);
             } else {
@@ -519,12 +515,11 @@
                 // Guards against bytes that follow a little later, which would answer the next request: the
                 // loop reads whatever has come before it runs this, so that a connection rests, however
                 // late the loop.
-                answeredAt = clock.now();
                 resting.addLast(this);
                 loop.schedule(() -> {
                     resting.remove(this);
                     release();
-                }, (long) rest, TimeUnit.MILLISECONDS);
+                }, REST_MS, TimeUnit.MILLISECONDS);
             } else {
                 channel.close();
             }
--- a/src/test/java/cobaltrack/sidecar/EndpointPoolTest.java
+++ b/src/test/java/cobaltrack/sidecar/EndpointPoolTest.java
@@ -56,38 +56,50 @@
     }
 
     @Test
-    void theLaterASecondAnswerComesTheLongerConnectionsRestAndItAnswersNobody() throws Exception {
+    void onceASecondAnswerHasComeNoConnectionIsUsedTwiceForAWhile() throws Exception {
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        BlockingQueue<FakeServer.Wire> answered = new LinkedBlockingQueue<>();
+        BlockingQueue<FakeServer.Wire> wires = new LinkedBlockingQueue<>();
         AtomicLong nanos = new AtomicLong(1);
-        try (FakeServer e = new FakeServer((r, w) -> {
-            w.ok("done");
-            answered.add(w);
-        })) {
-            EndpointPool pool = new EndpointPool(loop, NioSocketChannel.class, new Clock(nanos::get), 1000, 60000, 9);
+        try (FakeServer e = new FakeServer((r, w) -> wires.add(w))) {
+            EndpointPool pool = new EndpointPool(loop, NioSocketChannel.class, new Clock(nanos::get), 1000, 600_000, 9);
             loop.submit(() -> pool.update(new EndpointList(1, true, List.of(new EndpointList.Entry(
                     new Contract.Server("s", Contract.Standing.UP, 1, "a", 0, 0),
                     EndpointList.address(e.address())))))).get();
-            double before = loop.submit(pool::rest).get();
-            assertTrue(before >= 50, "some milliseconds late: " + before);
-            assertEquals(Contract.Outcome.SERVED, send(loop, pool));
-            FakeServer.Wire w = answered.take();
-            nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(90));
-            w.ok("again");
+            CompletableFuture<Contract.Outcome> first = begin(loop, pool);
+            CompletableFuture<Contract.Outcome> second = begin(loop, pool);
+            FakeServer.Wire one = wires.take();
+            one.ok("done");
+            wires.take().ok("done");
+            assertEquals(Contract.Outcome.SERVED, first.get(FakeServer.PATIENCE_S, TimeUnit.SECONDS));
+            assertEquals(Contract.Outcome.SERVED, second.get(FakeServer.PATIENCE_S, TimeUnit.SECONDS));
+            one.ok("again");
             e.awaitEnd();
-            double after = loop.submit(pool::rest).get();
-            assertTrue(after >= 180, "as late as that, and some more: " + after);
-            assertEquals(Contract.Outcome.SERVED, send(loop, pool));
-            assertEquals(2, e.connections());
+            e.script((r, w) -> w.ok("done"));
+            // Whether the other connection is at rest by now, idle, or gone.
+            for (int i = 3; i < 30; i++) {
+                assertEquals(Contract.Outcome.SERVED, send(loop, pool));
+                assertEquals(i, e.connections());
+                Thread.sleep(4);
+            }
+            nanos.addAndGet(TimeUnit.SECONDS.toNanos(30));
+            for (int i = 0; e.requests.size() == e.connections() && i < 2000; i++) {
+                assertEquals(Contract.Outcome.SERVED, send(loop, pool));
+                Thread.sleep(1);
+            }
+            assertTrue(e.requests.size() > e.connections(), "used again after that");
         } finally {
             loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
         }
     }
 
     private static Contract.Outcome send(EventLoop loop, EndpointPool pool) throws Exception {
+        return begin(loop, pool).get(FakeServer.PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    private static CompletableFuture<Contract.Outcome> begin(EventLoop loop, EndpointPool pool) {
         CompletableFuture<Contract.Outcome> ended = new CompletableFuture<>();
         loop.execute(() -> pool.send("s", new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"),
                 (outcome, answer, report) -> ended.complete(outcome)));
-        return ended.get(FakeServer.PATIENCE_S, TimeUnit.SECONDS);
+        return ended;
     }
 }
