--- a/src/main/java/cobaltrack/sidecar/Sidecar.java
+++ b/src/main/java/cobaltrack/sidecar/Sidecar.java
@@ -14,9 +14,11 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -34,12 +36,17 @@
         void failed();
     }
 
-    /** Taken off what the client waits, for its request's way here, our answer's way back and a late loop. */
+    /**
+     * Taken off what the client waits, for its request's way here, our answer's way back and a late loop; of a
+     * short wait no more than this share.
+     */
     private static final double ANSWER_MARGIN = 25;
+    private static final double ANSWER_SHARE = 0.1;
     /**
-     * How long after its deadline a request is failed that the module, told of the deadline, has not ended.
+     * Of that margin, how long after its deadline a request is failed that the module, told of the deadline, has
+     * not ended.
      */
-    private static final double MODULE_GRACE = 5;
+    private static final double MODULE_GRACE = 0.2;
     private static final double MILLIS = 1000;
     private static final double NANOS_IN_MILLI = 1e6;
 
@@ -50,8 +57,10 @@
     private final Consumer<String> log;
     private final Contract.Events module;
     private final Map<Long, Held> open = new HashMap<>();
+    private final Set<String> ids = new HashSet<>();
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
     private Runnable watch;
+    private Runnable whenListed = () -> { };
     private boolean telling;
     private long nextId;
 
@@ -79,27 +88,48 @@
         }
     }
 
+    /** Has this run once discovery's first list has come. */
+    void whenListed(Runnable task) {
+        whenListed = task;
+    }
+
     @Override
     public void list(Contract.ListKind kind, EndpointList list) {
         pool.update(list);
         tell(() -> module.servers(clock.now(), kind, list.servers()));
+        if (kind != Contract.ListKind.STALE) {
+            whenListed.run();
+            whenListed = () -> { };
+        }
     }
 
     @Override
-    public void outOfReach() {
-        tell(() -> module.servers(clock.now(), Contract.ListKind.FAILED, List.of()));
+    public void noWatch(Contract.ListKind why) {
+        tell(() -> module.servers(clock.now(), why, List.of()));
     }
 
-    /** Takes a request; the client is told its end exactly once. */
+    /** What is taken off a client's wait of so long. */
+    static double margin(double timeout) {
+        return Math.min(ANSWER_MARGIN, timeout * ANSWER_SHARE);
+    }
+
+    /** True if a request of this id is not over, or has an attempt out that may run. */
+    boolean holds(String id) {
+        return ids.contains(id);
+    }
+
+    /** Takes a request, whose id is not held; the client is told its end exactly once. */
     Held take(RequestCheck.Checked incoming, byte[] body, Client client) {
-        double left = Math.max(0, incoming.timeout() - ANSWER_MARGIN);
+        double margin = margin(incoming.timeout());
+        double left = incoming.timeout() - margin;
         Held h = new Held(new Contract.Request(nextId++, incoming.classIndex(), incoming.tenantIndex(), left,
                 incoming.repeat()), incoming, body, client);
         open.put(h.request.id, h);
+        ids.add(incoming.id());
         tell(() -> {
             double now = clock.now();
             h.endAt = now + left;
-            h.deadline = after(left + MODULE_GRACE, h::endUnserved);
+            h.deadline = after(left + margin * MODULE_GRACE, h::endUnserved);
             module.request(now, h.request);
         });
         return h;
@@ -112,6 +142,11 @@
         List.copyOf(open.values()).forEach(Held::endUnserved);
     }
 
+    /** Requests taken that are not over, or that have attempts out. */
+    int held() {
+        return open.size();
+    }
+
     // An event may cause another before the module has returned from it: that one waits its turn.
     private void tell(Runnable event) {
         events.add(event);
@@ -236,12 +271,15 @@
         private void over() {
             over = true;
             deadline.cancel(false);
+            // Guards against sending late what nobody waits for. This is no cancelling, which the settings may
+            // rule out: nothing of such an attempt has reached an endpoint, or not all of it.
+            attempts.forEach(Attempt::dropUnwritten);
             tidy();
         }
 
         private void tidy() {
-            if (over && attempts.stream().allMatch(a -> a.outcome != null)) {
-                open.remove(request.id);
+            if (over && attempts.stream().allMatch(a -> a.outcome != null) && open.remove(request.id) != null) {
+                ids.remove(incoming.id());
             }
         }
 
@@ -263,6 +301,14 @@
                     || attempts.stream().allMatch(a -> a.outcome != null && a.outcome.neverRan);
         }
 
+        // Rule 2 again, for a further attempt whose connection came up late: time for a repeat may be over.
+        private boolean mayRepeat(Attempt next, double now) {
+            Contract.RequestClass k = settings.classes().get(request.classIndex);
+            return k.effect() == Contract.Effect.SAFE || attempts.stream().noneMatch(a -> a != next
+                    && (a.outcome == null || !a.outcome.neverRan)
+                    && (k.effect() == Contract.Effect.UNSAFE || now >= a.sentAt + k.window()));
+        }
+
         private void send(String server, double within) {
             double now = clock.now();
             Attempt a = new Attempt(this, attempts.size(), now);
@@ -309,6 +355,19 @@
             }
         }
 
+        private void dropUnwritten() {
+            if (outcome == null && attempt != null && !attempt.written()) {
+                attempt.giveUp();
+                ended(Contract.Outcome.NEVER_SENT, null, null);
+            }
+        }
+
+        @Override
+        public boolean mayBegin() {
+            double now = clock.now();
+            return !held.over && now < held.endAt && held.mayRepeat(this, now);
+        }
+
         @Override
         public void ended(Contract.Outcome how, EndpointPool.Answer answer, Contract.Report report) {
             if (outcome != null) {
