Ask discovery again within 2.5 s of the last call, however long it was away

Cause: after an outage the wait before the next call doubled up to 4 s, times up to 1.5, and a spread of up to 0.4 x askWithin (4 s here) came on top: 10 s in the worst draw, where a change counts as told 6 s after discovery can be reached. Read in Decide.servers(FAILED) and shown by ListCallTest: "1 sidecars: called after 905 and 5433", later draws beyond 6 s. Ruled out: the spread of SILENT and MOVED (0 and 1 s at most), Discovery's own patience (2.6 to 3.6 s).

Change: the wait doubles up to 1 s; wait and spread together are drawn within what is left of 2.5 s from the beginning of the call before, so that a call turned away after 2 s in the queue is followed by the next within 0.5 s. The bound holds for 1 to 8,400 sidecars and any askWithin.

Measured by count in the test, one play a size: 14, 100 and 840 sidecars over an outage of 8 s call at most 1.3 times a second each, and at most 0.16 of them in any tenth of a second; a discovery that needs 3 s for all of them tells the last within 5.5 s of its return. The test fails with the old waits.

--- a/src/main/java/cobaltrack/Decide.java
+++ b/src/main/java/cobaltrack/Decide.java
@@ -129,7 +129,10 @@
     // --- the list --------------------------------------------------------------------------------
     // Waits before asking for the list again, doubled up to the longest.
     private static final double ASK_FIRST = 300;
-    private static final double ASK_LONGEST = 4000;
+    private static final double ASK_LONGEST = 1000;
+    // From one call without a list to the next, whatever is drawn: what discovery has counts as told 6 s after
+    // it can be reached, and a second call that waits its turn must still fit.
+    private static final double ASK_CYCLE_MOST = 2500;
     // All sidecars' calls are spread over so much time each, at most over this share of the time after which
     // one that has not asked counts as told.
     private static final double ASK_EACH = 10;
@@ -166,6 +169,8 @@
     private double retryTokens = RETRY_SAVE / 2;
     private double askAt = Double.NaN;
     private double askWait = ASK_FIRST;
+    // When the call began that has brought no list yet.
+    private double askedAt = Double.POSITIVE_INFINITY;
     private boolean asked;
     private double startedAt;
     private double lastWake;
@@ -336,8 +341,12 @@
         }
         if (kind == Contract.ListKind.FAILED) {
             // A list service that starts or comes back must not be met by every sidecar at once: it would
-            // turn most away, and they would keep it so. Spread by their number, and doubled waits.
-            askLater(now + askWait * (0.5 + random.nextDouble()), askSpread());
+            // turn most away, and they would keep it so. Spread by their number, and doubled waits, all of it
+            // drawn anew within what is left of the cycle.
+            double longest = askWait * 1.5 + askSpread();
+            double left = Math.min(ASK_CYCLE_MOST, settings.obligations().askWithin()) - Math.max(0, now - askedAt);
+            double scale = Math.min(1, Math.max(ASK_FIRST, left) / longest);
+            askLater(now + scale * askWait * (0.5 + random.nextDouble()), scale * askSpread());
             if (askWait == ASK_FIRST) {
                 out.log("server list out of reach: deciding on the last one");
             }
@@ -350,6 +359,7 @@
             }
             askAt = Double.NaN;
             askWait = ASK_FIRST;
+            askedAt = Double.POSITIVE_INFINITY;
         }
         if (kind != Contract.ListKind.CHANGES) {
             for (Node n : nodes.values()) {
@@ -936,6 +946,7 @@
         if (askAt <= now) {
             askAt = Double.NaN;
             asked = true;
+            askedAt = now;
             out.watchServers();
         }
         if (now >= periodAt) {
