--- a/src/main/java/cobaltrack/Decide.java
+++ b/src/main/java/cobaltrack/Decide.java
@@ -344,8 +344,8 @@
             // turn most away, and they would keep it so. Spread by their number, and doubled waits, all of it
             // drawn anew within what is left of the cycle.
             double longest = askWait * 1.5 + askSpread();
-            double left = Math.min(ASK_CYCLE_MOST, settings.obligations().askWithin()) - Math.max(0, now - askedAt);
-            double scale = Math.min(1, Math.max(ASK_FIRST, left) / longest);
+            double cycle = Math.min(ASK_CYCLE_MOST, settings.obligations().askWithin());
+            double scale = Math.min(1, Math.max(ASK_FIRST, cycle - Math.max(0, now - askedAt)) / longest);
             askLater(now + scale * askWait * (0.5 + random.nextDouble()), scale * askSpread());
             if (askWait == ASK_FIRST) {
                 out.log("server list out of reach: deciding on the last one");
