--- a/src/main/java/cobaltrack/sidecar/ClientConnection.java
+++ b/src/main/java/cobaltrack/sidecar/ClientConnection.java
@@ -326,19 +326,22 @@
                 complete = false;
                 decoder.heads = 0;
                 enter(Phase.IDLE);
+                if (server.draining()) {
+                    close();
+                }
             }
         });
     }
 
     private void end(FullHttpResponse response) {
         HttpUtil.setKeepAlive(response, false);
-        // Guards against reading on a huge body, and against the reset that would take away the answer to
-        // it: what still comes stays unread until the client has had time to see why.
-        boolean more = !complete;
-        channel.config().setAutoRead(!more);
+        // Guards against reading on a huge body, against taking a request that nobody would answer, and against
+        // the reset that would take away the answer: what still comes stays unread until the client has had time
+        // to read it.
+        channel.config().setAutoRead(false);
         ChannelFuture written = channel.writeAndFlush(response);
         written.addListener(f -> {
-            if (more && f.isSuccess() && channel instanceof DuplexChannel duplex) {
+            if (f.isSuccess() && channel instanceof DuplexChannel duplex) {
                 duplex.shutdownOutput();
                 channel.eventLoop().schedule(this::close, LINGER_MS, TimeUnit.MILLISECONDS);
             } else {
--- a/src/main/java/cobaltrack/sidecar/ClientServer.java
+++ b/src/main/java/cobaltrack/sidecar/ClientServer.java
@@ -18,13 +18,15 @@
  */
 final class ClientServer {
     /** New connections go on coming for up to 400 ms after SIGTERM; the rest is for a late loop. */
-    private static final long ACCEPT_AFTER_STOP_MS = 500;
+    private static final double ACCEPT_LEAST_MS = 500;
     /** A stopped process is killed no sooner than the longest deadline, or this if that is longer, ... */
     private static final double KILL_DEADLINE_MOST_MS = 3000;
-    /** ... and 700 ms more, of which 400 ms are kept for a late loop and for the last answers to go out. */
-    private static final double KILL_AFTER_DEADLINE_MS = 300;
+    /** ... and 700 ms more, of which 600 ms are kept for a late loop and for the last answers to go out. */
+    private static final double KILL_AFTER_DEADLINE_MS = 100;
     /** Of that, the time for what was taken last; most answers come in far less. */
-    private static final double LAST_ANSWERS_MS = 1000;
+    private static final double LAST_ANSWERS_MS = 900;
+    /** How long new connections are still taken once idle ones close: for the requests that crossed the close. */
+    private static final double CROSSED_MS = 400;
     /** A request comes whole within this time, or is answered 408: bad clients are owed a word within 3 s. */
     private static final double RECEIVE_MOST_MS = 2500;
     /** A client that does not read its answer for so long is gone. */
@@ -66,7 +68,8 @@
         this.longestDeadline = settings.classes().stream().mapToDouble(Contract.RequestClass::deadline)
                 .max().orElse(0);
         this.most = most;
-        loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(() -> FreshLook.before(loop, this::sweep), SWEEP_MS, SWEEP_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     /** Listens on this address only. */
@@ -189,29 +192,36 @@
     }
 
     /**
-     * Stops in the order that loses nothing: new connections are taken for as long as they may still come,
-     * and those that clients have are served on, for to them a closed one is an outage until the next
-     * start. Then idle ones close and every answer closes its own; what is still held is failed while it
-     * can be.
+     * Stops in the order that loses nothing: the connections that clients have are served on, for to them a closed
+     * one is an outage until the next start. Then idle ones close and every answer closes its own; a request that
+     * crosses such a close comes again on a new connection, and is taken for as long as that needs. What is still
+     * held is failed while it can be. Each step comes after a fresh look at the sockets, for what came in a late
+     * turn must not be taken for an idle connection or for none.
      */
     void drain(Runnable whenDrained) {
         drained = whenDrained;
-        loop.schedule(() -> {
-            accepting = false;
-            listener.close();
-            finishDrain();
-        }, ACCEPT_AFTER_STOP_MS, TimeUnit.MILLISECONDS);
         double limit = Math.min(KILL_DEADLINE_MOST_MS, longestDeadline) + KILL_AFTER_DEADLINE_MS;
-        loop.schedule(() -> {
+        double closing = Math.max(ACCEPT_LEAST_MS, limit - LAST_ANSWERS_MS);
+        drainStep(closing, () -> {
             draining = true;
             closeAll(ClientConnection.Phase.IDLE);
-            closeAll(ClientConnection.Phase.SILENT);
-            finishDrain();
-        }, (long) Math.max(ACCEPT_AFTER_STOP_MS, limit - LAST_ANSWERS_MS), TimeUnit.MILLISECONDS);
-        loop.schedule(() -> {
+        });
+        drainStep(closing + CROSSED_MS, () -> {
+            accepting = false;
+            listener.close();
+        });
+        drainStep(Math.max(limit, closing + CROSSED_MS), () -> {
             expired = true;
             sidecar.failAll();
-        }, (long) limit, TimeUnit.MILLISECONDS);
+            closeAll(ClientConnection.Phase.SILENT);
+        });
+    }
+
+    private void drainStep(double in, Runnable step) {
+        loop.schedule(() -> FreshLook.before(loop, () -> {
+            step.run();
+            finishDrain();
+        }), (long) in, TimeUnit.MILLISECONDS);
     }
 
     private void closeAll(ClientConnection.Phase phase) {
@@ -221,8 +231,7 @@
     }
 
     private void finishDrain() {
-        boolean done = draining ? connections.stream().noneMatch(ClientConnection::busy)
-                : connections.isEmpty();
+        boolean done = connections.stream().noneMatch(expired ? ClientConnection::busy : c -> true);
         if (drained != null && !accepting && done) {
             Runnable r = drained;
             drained = null;
--- /dev/null
+++ b/src/test/java/cobaltrack/sidecar/DrainTest.java
@@ -0,0 +1,76 @@
+package cobaltrack.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Requests that cross the steps of a drain, on real sockets. */
+class DrainTest {
+    /** With deadlines this short the steps come soon after the signal: idle connections close 500 ms after it. */
+    private static final long CLOSING_MS = 500;
+
+    private static TestNode node(String... endpoints) throws Exception {
+        return new TestNode(TestNode.config("127.0.0.1:0", FakeServer.refusing(), 1024, endpoints)
+                .replace("\"slo\":1200", "\"slo\":900").replace("\"slo\":30000", "\"slo\":900")
+                .replace("\"deadline\":60000", "\"deadline\":1000"), NioSocketChannel.class);
+    }
+
+    private static void awaitDrained(CountDownLatch drained) throws InterruptedException {
+        assertTrue(drained.await(FakeServer.PATIENCE_S, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void aRequestThatCrossedTheCloseOfItsConnectionIsServedOnANewOne() throws Exception {
+        CountDownLatch drained = new CountDownLatch(1);
+        try (FakeServer e = new FakeServer((r, w) -> w.ok("done")); TestNode n = node(e.address());
+                TestClient idle = n.client()) {
+            assertEquals("done", idle.ask(TestClient.status("5")).body());
+            n.group.next().execute(() -> n.server.drain(drained::countDown));
+            assertNull(idle.read());
+            try (TestClient again = n.client()) {
+                TestClient.Answer a = again.ask(TestClient.status("5"));
+                assertEquals("done", a.body());
+                assertEquals("close", a.headers().get("connection"));
+                assertNull(again.read());
+            }
+            awaitDrained(drained);
+        }
+    }
+
+    @Test
+    void aRequestThatCameInALateTurnIsAnsweredBeforeIdleConnectionsClose() throws Exception {
+        CountDownLatch drained = new CountDownLatch(1);
+        CountDownLatch late = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        try (FakeServer e = new FakeServer((r, w) -> w.ok("done")); TestNode n = node(e.address());
+                TestClient c = n.client()) {
+            assertEquals("done", c.ask(TestClient.status("5")).body());
+            EventLoop loop = n.group.next();
+            loop.execute(() -> {
+                n.server.drain(drained::countDown);
+                loop.schedule(() -> {
+                    late.countDown();
+                    go.await();
+                    return null;
+                }, CLOSING_MS - 1, TimeUnit.MILLISECONDS);
+            });
+            // The loop stands still until both are due, so that it runs one right behind the other.
+            n.call(() -> {
+                Thread.sleep(2 * CLOSING_MS);
+                return null;
+            });
+            assertTrue(late.await(FakeServer.PATIENCE_S, TimeUnit.SECONDS));
+            c.send(TestClient.status("5"));
+            go.countDown();
+            assertEquals("done", c.read().body());
+            assertNull(c.read());
+            awaitDrained(drained);
+        }
+    }
+}
