Hold a cold server's budget over the whole fleet, at any multiple and against retries

Cause: a cold server falls under the sum of what all sidecars send. Its token bucket filled at 1.5 times its part of a warm one's traffic whatever the multiple of the settings, and a token saved in each sidecar let through at once what other servers turned away from all of them. Retries bound to a group also leave the subset, so every sidecar has a token for every cold server.

Change: the bucket fills at 0.375 of the settings' multiple at most (1.5 from a multiple of 4 on, as before). What is not the first choice of a first attempt needs, besides a token, a draw by this sidecar's part of 0.375 of the fleet's budget for a window, scaled by subset to servers looked at. Sidecars share nothing; first choices stay as they were, so light ones do not starve.

--- a/src/main/java/cobaltrack/Decide.java
+++ b/src/main/java/cobaltrack/Decide.java
@@ -118,9 +118,11 @@
     private static final double AFTER_LEAST = 0.15;
     private static final double AFTER_FULL = 0.3;
     // --- cold servers ----------------------------------------------------------------------------
-    // Of what a warm server gets, times the guessed cold fraction, a cold one gets at most this much.
+    // Of what a warm server gets, times the guessed cold fraction, a cold one gets at most this much; of what
+    // it falls under, at most this part, and as much again of what others turned away in a window.
     private static final double COLD_RATE = 1.5;
-    // The most tokens saved up: one request and a half, so that hundreds of half-full buckets are no burst.
+    private static final double COLD_OF_FALL = 0.375;
+    // The most tokens saved up: one request and a half. The first choices of many do not fall together.
     private static final double COLD_SAVE = 1.5;
     // Weight of a period in the rate that a warm server gets, and the percentage from which it is
     // not counted.
@@ -537,14 +539,14 @@
             }
             // A small server comes later in the walk; its size refuses nothing.
             if (n.weight >= 1 || random.nextDouble() < n.weight) {
-                if (takeToken(now, n)) {
+                if (takeToken(now, n, c.count == 0 && left == s.length, s.length)) {
                     return n;
                 }
             } else if (spare == null) {
                 spare = n;
             }
         }
-        return spare != null && takeToken(now, spare) ? spare : null;
+        return spare != null && takeToken(now, spare, false, s.length) ? spare : null;
     }
 
     // The draws against a server: its percentage, and what it fails of this class.
@@ -624,19 +626,21 @@
         return o.coldShare() + (1 - o.coldShare()) * Math.max(0, age) / o.coldTime();
     }
 
-    // A cold server's token bucket: what a warm one gets from here, times the guessed fraction; no burst.
-    private boolean takeToken(double now, Node n) {
+    // A cold server's token bucket. First choices are spread over the fleet by chance. What others turn away
+    // comes from all sidecars at once: it passes by this one's part of the fleet's budget for a window.
+    private boolean takeToken(double now, Node n, boolean first, int of) {
         double w = warmth(now, n);
         if (w >= 1) {
             return true;
         }
-        n.tokens = Math.min(COLD_SAVE, n.tokens + COLD_RATE * w * warmRate * (now - n.tokensAt));
+        double fall = settings.obligations().fallMultiple() * w * warmRate;
+        double rate = Math.min(COLD_RATE * w * warmRate, COLD_OF_FALL * fall);
+        n.tokens = Math.min(COLD_SAVE, n.tokens + rate * (now - n.tokensAt));
         n.tokensAt = now;
-        if (n.tokens < 1) {
-            return false;
-        }
-        n.tokens--;
-        return true;
+        double part = COLD_OF_FALL * fall * settings.obligations().fallTime() * subset.length / of;
+        boolean passes = n.tokens >= 1 && (first || random.nextDouble() < part);
+        n.tokens -= passes ? 1 : 0;
+        return passes;
     }
 
     // Learns what a warm server gets from here. Cold and shut-out ones do not count; with no warm one left
