Let a sidecar that starts among cold servers only send them their part

Cause: budgets of cold servers are reckoned from what a warm server gets from here, which is nothing until a warm one is in the subset (Decide.learnWarmRate). A sidecar restarted in a rolling release whose few servers are all cold turned all its requests away, for up to the whole cold time: 0 of 80 sent in 4 s in ControllerTest.aSidecarThatStarts..., which fails without the change.

Change: until a warm server has been seen, its part is taken to be what is asked here over the subset.

--- a/src/main/java/cobaltrack/Decide.java
+++ b/src/main/java/cobaltrack/Decide.java
@@ -124,16 +124,14 @@
     private static final double COLD_OF_FALL = 0.375;
     // The most tokens saved up: one request and a half. The first choices of many do not fall together.
     private static final double COLD_SAVE = 1.5;
-    // Weight of a period in the rate that a warm server gets, and the percentage from which it is
-    // not counted.
+    // Weight of a period in what a warm server gets, and the percentage from which it does not count.
     private static final double WARM_WEIGHT = 0.05;
     private static final double WARM_SHUT = 0.5;
     // --- the list --------------------------------------------------------------------------------
     // Waits before asking for the list again, doubled up to the longest.
     private static final double ASK_FIRST = 300;
     private static final double ASK_LONGEST = 1000;
-    // From one call without a list to the next, at most: what discovery has counts as told 6 s after
-    // it can be reached, and a second call that waits its turn must still fit.
+    // From call to call with no list: it counts as told 6 s after it can be had, and two must fit.
     private static final double ASK_CYCLE_MOST = 2500;
     // All sidecars' calls are spread over so much time each, at most over this share of the time after which
     // one that has not asked counts as told.
@@ -191,6 +189,7 @@
     private double probeEarned;
     private double probeRate;
     private double warmRate;
+    private boolean warmSeen;
     // The subset's evidence, and its answers' usual and real times.
     private double poolBad;
     private double poolAll;
@@ -653,8 +652,8 @@
         return passes;
     }
 
-    // Learns what a warm server gets from here. Cold and shut-out ones do not count; with no warm one left
-    // the last figure stands: in a rolling deploy budgets would else shrink with the traffic they allow.
+    // Learns what a warm server gets from here, by those not shut; with none left the last figure stands, or
+    // budgets would shrink with the traffic they allow; before the first, it is a part of all that is asked.
     private void learnWarmRate(double now) {
         double sum = 0;
         int count = 0;
@@ -664,8 +663,12 @@
                 count++;
             }
         }
+        warmSeen |= count > 0;
         if (count > 0) {
             warmRate += (sum / count - warmRate) * WARM_WEIGHT;
+        } else if (!warmSeen && ranked.length > 0) {
+            warmRate = Arrays.stream(mix).sum() * (1 - MIX_KEEP) / period / ranked.length
+                    / (1 - Math.pow(MIX_KEEP, (now - startedAt) / period));
         }
     }
 
@@ -940,8 +943,7 @@
     }
 
     @Override
-    public void message(double now, int from, byte[] text) {
-    }
+    public void message(double now, int from, byte[] text) { }
 
     // --- the period ------------------------------------------------------------------------------
 
--- a/src/test/java/cobaltrack/ControllerTest.java
+++ b/src/test/java/cobaltrack/ControllerTest.java
@@ -275,6 +275,21 @@
         assertTrue(later > early, "more as they warm: " + later);
     }
 
+    @Test
+    void aSidecarThatStartsAmongColdServersOnlyDoesNotTurnAllAway() {
+        Rig rig = new Rig(Rig.settings(false, HIGH), 11);
+        List<Contract.Server> cold = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            cold.add(new Contract.Server("s" + i, Contract.Standing.UP, 1, "z", 0, 1000 + i));
+        }
+        rig.module.start(2000);
+        rig.module.servers(2000, Contract.ListKind.FULL, cold);
+        int sent = total(drive(rig, 2000, 6000, 50, s -> Contract.Outcome.SERVED));
+        assertTrue(sent > 16, "of 80, a fifth of its capacity is there at least: " + sent);
+        int later = total(drive(rig, 6000, 10_000, 50, s -> Contract.Outcome.SERVED));
+        assertTrue(later < 60, "and they are not sent all: " + later);
+    }
+
     private static int total(Map<String, Integer> count) {
         int sum = 0;
         for (int n : count.values()) {
