--- a/src/main/java/cobaltrack/sidecar/ClientConnection.java
+++ b/src/main/java/cobaltrack/sidecar/ClientConnection.java
@@ -26,7 +26,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -277,8 +276,7 @@
     public void refused(double retryAfter) {
         FullHttpResponse response = response(HttpResponseStatus.SERVICE_UNAVAILABLE);
         if (retryAfter > 0) {
-            response.headers().set(HttpHeaderNames.RETRY_AFTER,
-                    String.format(Locale.ROOT, "%.3f", retryAfter / MILLIS));
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, Decimals.thousandths(retryAfter / MILLIS));
         }
         write(response);
     }
--- a/src/main/java/cobaltrack/sidecar/Sidecar.java
+++ b/src/main/java/cobaltrack/sidecar/Sidecar.java
@@ -16,7 +16,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -324,7 +323,7 @@
 
         private DefaultFullHttpRequest httpRequest(double wait) {
             HttpHeaders headers = incoming.headers().copy();
-            headers.set(RequestCheck.TIMEOUT, String.format(Locale.ROOT, "%.3f", wait / MILLIS));
+            headers.set(RequestCheck.TIMEOUT, Decimals.thousandths(wait / MILLIS));
             if (body.length > 0 || incoming.method().equals(HttpMethod.POST)) {
                 headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             }
