--- a/src/test/java/cobaltrack/sidecar/FakeServer.java
+++ b/src/test/java/cobaltrack/sidecar/FakeServer.java
@@ -60,8 +60,13 @@
     private volatile Script script;
 
     FakeServer(Script script) throws IOException {
+        this(0, script);
+    }
+
+    /** A server at this port, which is free. */
+    FakeServer(int port, Script script) throws IOException {
         this.script = script;
-        this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this.listener = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
         daemon(this::accept);
     }
 
--- a/src/test/java/cobaltrack/sidecar/TestClient.java
+++ b/src/test/java/cobaltrack/sidecar/TestClient.java
@@ -27,6 +27,18 @@
         socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
 
+    /** Leaves by a {@code reset}, by ending its sending ({@code half}) or else by a full close. */
+    void leave(String how) throws IOException {
+        switch (how) {
+            case "half" -> socket.shutdownOutput();
+            case "reset" -> {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
+            default -> socket.close();
+        }
+    }
+
     static String status(String timeout) {
         return "GET /api?obj=k HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: r" + ids++
                 + "\r\nRequest-Class: status\r\nRequest-Timeout: " + timeout + "\r\n\r\n";
