--- a/src/main/java/cobaltrack/sidecar/ClientConnection.java
+++ b/src/main/java/cobaltrack/sidecar/ClientConnection.java
@@ -218,8 +218,8 @@
         checked = RequestCheck.path(request).equals(READY_PATH) ? null : server.check().application(request);
     }
 
-    // Only when all that came in one pass has been looked at is it clear that nothing follows the request. The end of
-    // the connection is found behind this: what a client has asked that has gone by now is not sent on.
+    // Only when all that came in one pass has been looked at is it clear that nothing follows the request.
+    // The end of the connection is found behind this: of a client that has gone by now nothing is sent on.
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (phase == Phase.RECEIVING && complete) {
--- a/src/main/java/cobaltrack/sidecar/ClientServer.java
+++ b/src/main/java/cobaltrack/sidecar/ClientServer.java
@@ -4,7 +4,10 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelConfig;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -81,6 +84,7 @@
                     protected void initChannel(Channel channel) {
                         // On the loop and before the first connection, which needs it.
                         listener = channel;
+                        channel.pipeline().addLast(new Accepting());
                     }
                 })
                 .childHandler(new ChannelInitializer<>() {
@@ -89,13 +93,26 @@
                         new ClientConnection(ClientServer.this, clock).addTo(channel.pipeline());
                     }
                 })
-                // Reads up to where nothing is left: else the end of a connection would be found a turn later than the
-                // request before it, which would be sent on for a client that has gone.
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator().respectMaybeMoreData(false).maxMessagesPerRead(READS_MOST))
+                // Reads up to where nothing is left: else the end of a connection would be found a turn later
+                // than the request before it, which would be sent on for a client that has gone.
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator()
+                        .respectMaybeMoreData(false).maxMessagesPerRead(READS_MOST))
                 .bind(address);
     }
 
+    /**
+     * Guards against accepting with no descriptor left: trying again at once would spin, and the log that the
+     * failure would end in opens files of its own, which would end the loop and the process.
+     */
+    private static final class Accepting extends ChannelInboundHandlerAdapter {
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ChannelConfig config = ctx.channel().config();
+            config.setAutoRead(false);
+            ctx.executor().schedule(() -> config.setAutoRead(true), SWEEP_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
     /** From now on {@code /health/ready} answers 200. */
     void ready() {
         ready = true;
--- a/src/test/java/cobaltrack/sidecar/DepartureTest.java
+++ b/src/test/java/cobaltrack/sidecar/DepartureTest.java
@@ -18,7 +18,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** A client leaves, in each way there is, while its request is on its way: nothing is sent for it any more. */
+/** A client leaves, in each way there is, while its request is under way: nothing more is sent for it. */
 class DepartureTest {
     private final BlockingQueue<FakeServer.Wire> wires = new LinkedBlockingQueue<>();
     private final AtomicInteger heard = new AtomicInteger();
@@ -29,8 +29,9 @@
     }
 
     private static Stream<Arguments> waysAndFailures() {
-        return Stream.of("close", "half", "reset", "stay").flatMap(way -> Stream.of("reset", "500 Error", "503 Full")
-                .flatMap(failure -> Stream.of("true", "false").map(cancel -> Arguments.of(way, failure, cancel))));
+        return Stream.of("close", "half", "reset", "stay").flatMap(way ->
+                Stream.of("reset", "500 Error", "503 Full").flatMap(failure -> Stream.of("true", "false")
+                        .map(cancel -> Arguments.of(way, failure, cancel))));
     }
 
     private FakeServer endpoint() throws IOException {
@@ -53,8 +54,8 @@
 
     private static TestNode node(String cancel, Class<? extends Channel> channels, FakeServer e, FakeServer f)
             throws Exception {
-        return new TestNode(TestNode.config("127.0.0.1:0", FakeServer.refusing(), 1024, e.address(), f.address())
-                .replace("\"cancel\":true", "\"cancel\":" + cancel), channels);
+        String config = TestNode.config("127.0.0.1:0", FakeServer.refusing(), 1024, e.address(), f.address());
+        return new TestNode(config.replace("\"cancel\":true", "\"cancel\":" + cancel), channels);
     }
 
     private static void fail(FakeServer.Wire wire, String how) throws IOException {
@@ -78,7 +79,8 @@
 
     @ParameterizedTest
     @MethodSource("waysAndFailures")
-    void anAttemptThatFailsAfterItsClientLeftIsTheLast(String way, String failure, String cancel) throws Exception {
+    void anAttemptThatFailsAfterItsClientLeftIsTheLast(String way, String failure, String cancel)
+            throws Exception {
         try (FakeServer e = endpoint(); FakeServer f = endpoint();
                 TestNode n = node(cancel, NioSocketChannel.class, e, f); TestClient c = n.client()) {
             c.send(TestClient.status("50"));
@@ -141,8 +143,12 @@
             c.leave(way);
             n.await(() -> n.server.connections() == 0);
             comesUp.run();
-            try (AutoCloseable connecting = letAllConnect()) {
+            Thread connecting = letAllConnect();
+            try {
                 assertSent(0, n, e, f);
+            } finally {
+                connecting.interrupt();
+                connecting.join();
             }
         }
     }
@@ -154,8 +160,8 @@
                 TestNode n = node("false", LateSocket.class, e, f); TestClient c = n.client()) {
             c.send(TestClient.status("50"));
             Runnable comesUp = LateSocket.awaitConnect();
-            // The connect is begun in this turn, behind the first task; the loop looks again only when its client is
-            // gone, too.
+            // The connect is begun in this turn, behind the first task; the loop looks again only when its
+            // client is gone, too.
             CountDownLatch left = new CountDownLatch(1);
             n.group.next().execute(() -> {
                 comesUp.run();
@@ -166,8 +172,12 @@
             }
             c.leave(way);
             left.countDown();
-            try (AutoCloseable connecting = letAllConnect()) {
+            Thread connecting = letAllConnect();
+            try {
                 assertSent(0, n, e, f);
+            } finally {
+                connecting.interrupt();
+                connecting.join();
             }
         }
     }
@@ -180,22 +190,19 @@
         }
     }
 
-    // Connections that are begun from now on come up at once, until it is closed.
-    private static AutoCloseable letAllConnect() {
+    // Connections that are begun from now on come up at once, until it is interrupted.
+    private static Thread letAllConnect() {
         Thread t = new Thread(() -> {
             try {
                 while (true) {
                     LateSocket.awaitConnect().run();
                 }
             } catch (InterruptedException x) {
-                // closed
+                // over
             }
         });
         t.setDaemon(true);
         t.start();
-        return () -> {
-            t.interrupt();
-            t.join();
-        };
+        return t;
     }
 }
--- a/src/test/java/cobaltrack/sidecar/FloodTest.java
+++ b/src/test/java/cobaltrack/sidecar/FloodTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Clients that send much at once, and go: nothing is sent on for them, and good ones are served beside them. */
+/** Clients that send much at once, and go: nothing is sent on for them, and others are served. */
 class FloodTest {
     private static final int PIPELINED = 300;
     private static final int LEAVING = 200;
