--- a/src/main/java/cobaltrack/sidecar/ClientConnection.java
+++ b/src/main/java/cobaltrack/sidecar/ClientConnection.java
@@ -218,9 +218,16 @@
     }
 
     // Only when all that came in one pass has been looked at is it clear that nothing follows the request.
+    // The end of the connection is found behind this: of a client that has gone by now nothing is sent on.
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (phase != Phase.RECEIVING || !complete) {
+        if (phase == Phase.RECEIVING && complete) {
+            ctx.executor().execute(this::requested);
+        }
+    }
+
+    private void requested() {
+        if (phase != Phase.RECEIVING || !complete || !channel.isActive()) {
             return;
         }
         if (decoder.holdsMore()) {
