Open the watch again after a call to discovery that met no descriptor

Cause: with no descriptor left, Bootstrap.connect hands out a channel that never was, and tells its failure on a thread of Netty's own. Discovery.lost closed that channel, which throws for want of a loop, with `current` already null: nobody was told, and the watch was never opened again (users' term: idle clients may fill the descriptors while discovery is down). EndpointPool.connect took the same failure off the loop. Found by reading in the work on DescriptorTest; WatchTest.aWatchThatMetNoDescriptor... fails without the change in both modes ("nothing came").

Change: both failures are dealt with on the loop, and only a channel that was registered is closed.

Also: the sum of the mix for a cold server's budget comes from where it is made anyway.

--- a/src/main/java/cobaltrack/Decide.java
+++ b/src/main/java/cobaltrack/Decide.java
@@ -654,7 +654,7 @@
 
     // Learns what a warm server gets from here, by those not shut; with none left the last figure stands, or
     // budgets would shrink with the traffic they allow; before the first, it is a part of all that is asked.
-    private void learnWarmRate(double now) {
+    private void learnWarmRate(double now, double mixed) {
         double sum = 0;
         int count = 0;
         for (Node n : ranked) {
@@ -667,8 +667,8 @@
         if (count > 0) {
             warmRate += (sum / count - warmRate) * WARM_WEIGHT;
         } else if (!warmSeen && ranked.length > 0) {
-            warmRate = Arrays.stream(mix).sum() * (1 - MIX_KEEP) / period / ranked.length
-                    / (1 - Math.pow(MIX_KEEP, (now - startedAt) / period));
+            double perPeriod = mixed * (1 - MIX_KEEP) / (1 - Math.pow(MIX_KEEP, (now - startedAt) / period));
+            warmRate = perPeriod / period / ranked.length;
         }
     }
 
@@ -942,8 +942,7 @@
         }
     }
 
-    @Override
-    public void message(double now, int from, byte[] text) { }
+    @Override public void message(double now, int from, byte[] text) { }
 
     // --- the period ------------------------------------------------------------------------------
 
@@ -969,7 +968,7 @@
     private void step(double now) {
         double span = Math.max(1, now - lastWake);
         lastWake = now;
-        updateMix();
+        double mixed = updateMix();
         pace = poolUsual / poolTook;
         for (int i = 0; i < usual.length; i++) {
             usual[i] = recent[i] < usual[i] ? recent[i] : usual[i] + (recent[i] - usual[i]) * DRIFT;
@@ -1002,13 +1001,13 @@
         poolAll *= POOL_KEEP;
         poolUsual = 1 + (poolUsual - 1) * POOL_KEEP;
         poolTook = 1 + (poolTook - 1) * POOL_KEEP;
-        learnWarmRate(now);
+        learnWarmRate(now, mixed);
         weigh();
         probe(now);
         nextPeriod(now, period * (0.9 + 0.2 * random.nextDouble()));
     }
 
-    private void updateMix() {
+    private double updateMix() {
         double total = 0;
         for (double m : mix) {
             total += m;
@@ -1024,6 +1023,7 @@
         for (int i = 0; i < tenantSeen.length; i++) {
             tenantSeen[i] *= MIX_KEEP;
         }
+        return total;
     }
 
     // One step of the controller: up from the percentage in use while too much is not accepted, else down.
--- a/src/main/java/cobaltrack/sidecar/Discovery.java
+++ b/src/main/java/cobaltrack/sidecar/Discovery.java
@@ -11,8 +11,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -76,8 +74,8 @@
     private boolean spoilt;
 
     /** A watch that has not begun. {@code known} is the list to hear changes of, or null. */
-    Discovery(EventLoop loop, Clock clock, InetSocketAddress address, ObjectMapper mapper,
-              Contract.Settings settings, long seed, EndpointList known, Listener listener, Consumer<String> log) {
+    Discovery(EventLoop loop, Class<? extends Channel> channels, Clock clock, InetSocketAddress address,
+              ObjectMapper mapper, Contract.Settings settings, long seed, EndpointList known, Listener listener, Consumer<String> log) {
         this.loop = loop;
         this.clock = clock;
         this.address = address;
@@ -89,7 +87,7 @@
         this.seq = known == null ? null : known.seq();
         this.listener = listener;
         this.log = log;
-        this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        this.bootstrap = new Bootstrap().group(loop).channel(channels)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS);
         loop.scheduleAtFixedRate(this::lookForSilence, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
     }
@@ -107,16 +105,17 @@
         }
         Call call = new Call(SILENT_MS + SILENT_SPREAD_MS * random.nextDouble());
         current = call;
-        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<SocketChannel>() {
+        ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
             @Override
-            protected void initChannel(SocketChannel channel) {
+            protected void initChannel(Channel channel) {
                 channel.pipeline().addLast(new HttpClientCodec(), call);
             }
         }).connect(address);
         call.channel = connecting.channel();
         connecting.addListener(f -> {
+            // On the loop: where no descriptor is left, another thread tells so, of a channel that never was.
             if (!f.isSuccess()) {
-                lost(call, Contract.ListKind.FAILED);
+                loop.execute(() -> lost(call, Contract.ListKind.FAILED));
             }
         });
     }
@@ -137,7 +136,7 @@
         Call old = current;
         current = null;
         if (old != null) {
-            old.channel.close();
+            old.end();
         }
         if (pushed) {
             watch();
@@ -152,7 +151,7 @@
             return;
         }
         current = null;
-        call.channel.close();
+        call.end();
         if (!pushed) {
             listener.noWatch(why);
         } else if (why == Contract.ListKind.SILENT) {
@@ -180,6 +179,13 @@
             this.patience = patience;
         }
 
+        // With no descriptor left there is nothing to close, and the attempt would throw.
+        private void end() {
+            if (channel.isRegistered()) {
+                channel.close();
+            }
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             String uri = PATH + "?watch=1" + (seq == null ? "" : "&after=" + seq);
--- a/src/main/java/cobaltrack/sidecar/EndpointPool.java
+++ b/src/main/java/cobaltrack/sidecar/EndpointPool.java
@@ -170,19 +170,25 @@
             }
         }).connect(endpoint.address);
         connection.channel = connecting.channel();
+        // Either way after a fresh look, and on the loop: where no descriptor is left, another thread tells so.
         connecting.addListener(f -> {
-            // Guards against counting for ever what never was: with no descriptor left there is no channel
-            // to close.
-            if (!f.isSuccess()) {
-                open--;
-                attempt.end(Contract.Outcome.CONNECT_FAILED, null, null);
-                return;
+            if (f.isSuccess()) {
+                connection.channel.closeFuture().addListener(closed -> open--);
             }
-            connection.channel.closeFuture().addListener(closed -> open--);
-            FreshLook.before(loop, () -> connection.begin(attempt));
+            FreshLook.before(loop, () -> connected(connection, attempt, f.isSuccess()));
         });
     }
 
+    private void connected(Connection connection, Attempt attempt, boolean up) {
+        if (up) {
+            connection.begin(attempt);
+        } else {
+            // Guards against counting for ever what never was: there is no channel whose end would tell.
+            open--;
+            attempt.end(Contract.Outcome.CONNECT_FAILED, null, null);
+        }
+    }
+
     private boolean trusted() {
         return clock.now() >= distrustUntil;
     }
--- a/src/main/java/cobaltrack/sidecar/Main.java
+++ b/src/main/java/cobaltrack/sidecar/Main.java
@@ -88,16 +88,16 @@
     record Parts(ClientServer server, Sidecar sidecar, Discovery discovery, Runnable start) { }
 
     /**
-     * Makes the parts, with this clock and this kind of connections to endpoints. Nothing is asked of discovery before a failed
-     * bind could still end the process.
+     * Makes the parts, with this clock and this kind of connections to endpoints. Nothing is asked of discovery
+     * before a failed bind could still end the process.
      */
     static Parts wire(Config config, ObjectMapper mapper, EventLoop loop, Clock clock,
                       Class<? extends Channel> channels) {
         EndpointPool pool = new EndpointPool(loop, channels, clock, config.connectTimeout(),
                 config.endpointIdle(), Math.max(1, config.sockets() * ENDPOINT_SHARE / SHARES));
         Sidecar sidecar = new Sidecar(loop, clock, config.settings(), config.seed(), pool, Main::log);
-        Discovery discovery = new Discovery(loop, clock, config.discovery(), mapper, config.settings(),
-                config.seed(), config.known(), sidecar, Main::log);
+        Discovery discovery = new Discovery(loop, NioSocketChannel.class, clock, config.discovery(), mapper,
+                config.settings(), config.seed(), config.known(), sidecar, Main::log);
         ClientServer server = new ClientServer(loop, clock, sidecar, config.settings(),
                 Math.max(1, config.sockets() * CLIENT_SHARE / SHARES));
         return new Parts(server, sidecar, discovery, () -> {
--- a/src/test/java/cobaltrack/sidecar/EndpointPoolTest.java
+++ b/src/test/java/cobaltrack/sidecar/EndpointPoolTest.java
@@ -23,7 +23,7 @@
 
 /** The pool when there are no descriptors left, and when more comes than an answer. */
 class EndpointPoolTest {
-    private static final AtomicBoolean EXHAUSTED = new AtomicBoolean();
+    static final AtomicBoolean EXHAUSTED = new AtomicBoolean();
 
     /** A socket that can't be made while there are no descriptors. */
     public static final class ScarceChannel extends NioSocketChannel {
--- a/src/test/java/cobaltrack/sidecar/WatchTest.java
+++ b/src/test/java/cobaltrack/sidecar/WatchTest.java
@@ -39,7 +39,7 @@
 
     @Override
     public void noWatch(Contract.ListKind why) {
-        heard.add(why.toString());
+        heard.add(loop.inEventLoop() ? why.toString() : why + " from another thread");
     }
 
     @AfterEach
@@ -56,8 +56,8 @@
         ObjectMapper mapper = new ObjectMapper();
         Config config = Config.parse(TestNode.config("127.0.0.1:0", address, 64)
                 .replace("\"discovery\":\"ask\"", "\"discovery\":\"" + how + "\""), mapper);
-        discovery = loop.submit(() -> new Discovery(loop, new Clock(nanos::get), config.discovery(), mapper,
-                config.settings(), config.seed(), config.known(), this, log::add)).get();
+        discovery = loop.submit(() -> new Discovery(loop, EndpointPoolTest.ScarceChannel.class, new Clock(nanos::get),
+                config.discovery(), mapper, config.settings(), config.seed(), config.known(), this, log::add)).get();
         again();
         return discovery;
     }
@@ -104,6 +104,28 @@
         return mapper.writerWithDefaultPrettyPrinter().writeValueAsString(mapper.readTree(json));
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"ask", "push"})
+    void aWatchThatMetNoDescriptorIsOpenedOnceThereIsOne(String how) throws Exception {
+        try (FakeServer d = server()) {
+            EndpointPoolTest.EXHAUSTED.set(true);
+            try {
+                watch(d.address(), how);
+                turn();
+                if (how.equals("ask")) {
+                    assertEquals("FAILED", next(heard));
+                }
+            } finally {
+                EndpointPoolTest.EXHAUSTED.set(false);
+            }
+            if (how.equals("ask")) {
+                again();
+            }
+            next(calls).text(WATCH + chunk(list(50, true, "a") + "\n"));
+            assertEquals("FULL 50 [a]", next(heard));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 3, 7, 64, 100_000})
     void listsAreReadHoweverTheyAreIndentedAndCut(int piece) throws Exception {
