--- a/src/main/java/cobaltrack/sidecar/ClientServer.java
+++ b/src/main/java/cobaltrack/sidecar/ClientServer.java
@@ -257,11 +257,20 @@
     }
 
     private void finishDrain() {
-        boolean done = connections.stream().noneMatch(expired ? ClientConnection::busy : c -> true);
-        if (drained != null && !accepting && done) {
+        if (drained != null && !accepting && !waits()) {
             Runnable r = drained;
             drained = null;
             r.run();
         }
     }
+
+    // Once all is answered that could be, only answers that are being written keep the process.
+    private boolean waits() {
+        for (ClientConnection c : connections) {
+            if (!expired || c.busy()) {
+                return true;
+            }
+        }
+        return false;
+    }
 }
--- a/src/main/java/cobaltrack/sidecar/Sidecar.java
+++ b/src/main/java/cobaltrack/sidecar/Sidecar.java
@@ -163,7 +163,9 @@
      * Fails whatever is still held: the process is about to be killed, and no answer at all would lose it.
      */
     void failAll() {
-        List.copyOf(open.values()).forEach(Held::endUnserved);
+        for (Held h : List.copyOf(open.values())) {
+            h.endUnserved();
+        }
     }
 
     /** Requests taken that are not over, or that have attempts out. */
--- a/src/test/java/cobaltrack/sidecar/ArchiveTest.java
+++ b/src/test/java/cobaltrack/sidecar/ArchiveTest.java
@@ -61,9 +61,10 @@
         int before = new Drive(how, loaded, jar).run();
         List<String> lines = Files.readAllLines(loaded);
         List<String> outside = new ArrayList<>();
-        for (String line : lines.subList(before, lines.size())) {
-            if (!line.contains("source: shared objects file")) {
-                outside.add(line);
+        for (int i = before; i < lines.size(); i++) {
+            if (!lines.get(i).contains("source: shared objects file")) {
+                // What was loaded just before tells where.
+                outside.add(lines.get(i) + " after " + lines.subList(Math.max(0, i - 4), i));
             }
         }
         assertTrue(outside.isEmpty(), () -> outside.size() + " of " + (lines.size() - before)
