--- a/src/main/java/cobaltrack/sidecar/Discovery.java
+++ b/src/main/java/cobaltrack/sidecar/Discovery.java
@@ -75,7 +75,8 @@
 
     /** A watch that has not begun. {@code known} is the list to hear changes of, or null. */
     Discovery(EventLoop loop, Class<? extends Channel> channels, Clock clock, InetSocketAddress address,
-              ObjectMapper mapper, Contract.Settings settings, long seed, EndpointList known, Listener listener, Consumer<String> log) {
+              ObjectMapper mapper, Contract.Settings settings, long seed, EndpointList known,
+              Listener listener, Consumer<String> log) {
         this.loop = loop;
         this.clock = clock;
         this.address = address;
--- a/src/test/java/cobaltrack/ListCallTest.java
+++ b/src/test/java/cobaltrack/ListCallTest.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** The calls to discovery after one has failed: early enough for each sidecar, and not all at once for all. */
+/** The calls to discovery after one has failed: early enough for each sidecar, not at once for all. */
 class ListCallTest {
     /** What discovery has to tell counts as told so long after it can be reached. */
     private static final double TOLD = 6000;
@@ -19,9 +19,11 @@
         Contract.Settings s = Rig.settings(false, new Contract.RequestClass("slow", 1, 0, 20_000, 30_000,
                 Contract.Effect.SAFE, Contract.Group.ALL, 0, false));
         Contract.Obligations o = s.obligations();
-        Rig rig = new Rig(new Contract.Settings(s.classes(), s.tenants(), 1, s.limits(), new Contract.Obligations(
-                o.drainGrace(), o.fallMultiple(), o.fallTime(), o.coldShare(), o.coldTime(), askWithin),
-                s.reporting(), true, sidecars, 0), seed);
+        Contract.Obligations within = new Contract.Obligations(o.drainGrace(), o.fallMultiple(), o.fallTime(),
+                o.coldShare(), o.coldTime(), askWithin);
+        Contract.Settings all = new Contract.Settings(s.classes(), s.tenants(), 1, s.limits(), within,
+                s.reporting(), true, sidecars, 0);
+        Rig rig = new Rig(all, seed);
         rig.module.start(0);
         rig.module.servers(0, Contract.ListKind.STALE, Rig.fleet(4));
         return rig;
@@ -47,13 +49,13 @@
                     Rig rig = rig(sidecars, askWithin, seed);
                     double now = rig.watches > 0 ? 0 : nextCall(rig, 1);
                     for (int i = 0; i < 6; i++) {
-                        // Discovery comes back the moment after a call has failed, and turns the next one away.
+                        // Discovery comes back the moment after a call failed, and turns the next one away.
                         rig.module.servers(now, Contract.ListKind.FAILED, List.of());
                         double first = nextCall(rig, now);
                         rig.module.servers(first + QUEUE_MOST, Contract.ListKind.FAILED, List.of());
                         double second = nextCall(rig, first + QUEUE_MOST);
-                        assertTrue(second - now < TOLD - 900, sidecars + " sidecars, " + askWithin + ": called after "
-                                + (first - now) + " and " + (second - now));
+                        assertTrue(second - now < TOLD - 900, sidecars + " sidecars, " + askWithin
+                                + ": called after " + (first - now) + " and " + (second - now));
                         now = second + i * 100;
                     }
                 }
@@ -61,7 +63,7 @@
         }
     }
 
-    /** One queue with a service time, down at first; it serves in turn and turns away what has waited too long. */
+    /** One queue with a service time, down at first; it serves in turn, not what has waited too long. */
     private static final class Discovery {
         final ArrayDeque<double[]> queue = new ArrayDeque<>();
         final List<Double> calls = new ArrayList<>();
@@ -101,8 +103,8 @@
             while (!d.queue.isEmpty() && (d.freeAt <= now || now - d.queue.peek()[1] >= QUEUE_MOST)) {
                 double[] call = d.queue.poll();
                 boolean served = now - call[1] < QUEUE_MOST;
-                rigs.get((int) call[0]).module.servers(5000 + now,
-                        served ? Contract.ListKind.FULL : Contract.ListKind.FAILED, served ? Rig.fleet(4) : List.of());
+                Contract.ListKind kind = served ? Contract.ListKind.FULL : Contract.ListKind.FAILED;
+                rigs.get((int) call[0]).module.servers(5000 + now, kind, served ? Rig.fleet(4) : List.of());
                 if (served) {
                     d.freeAt = Math.max(call[1], d.freeAt) + service;
                     d.lastTold = now - back;
@@ -117,13 +119,13 @@
         for (int sidecars : new int[] {14, 100, 840}) {
             // It needs 3 s for all of them, however they come.
             Discovery d = outage(sidecars, 3000.0 / sidecars);
-            assertTrue(d.lastTold < TOLD - 500, sidecars + " sidecars: the last was told after " + d.lastTold);
+            assertTrue(d.lastTold < TOLD - 500, sidecars + " sidecars: the last told after " + d.lastTold);
             // From when the waits have grown, over the return, to the end.
             for (double from = 5000; from < 14_000; from += 100) {
                 double begin = from;
                 long calls = d.calls.stream().filter(at -> at >= begin && at < begin + 1000).count();
-                assertTrue(calls <= 1.3 * sidecars + 4, sidecars + " sidecars called " + calls + " times in the second from "
-                        + from);
+                assertTrue(calls <= 1.3 * sidecars + 4, sidecars + " sidecars called " + calls
+                        + " times in the second from " + from);
                 long burst = d.calls.stream().filter(at -> at >= begin && at < begin + 100).count();
                 assertTrue(burst <= 0.16 * sidecars + 5, sidecars + " sidecars called " + burst
                         + " times in the tenth from " + from);
