--- a/src/test/java/cobaltrack/sidecar/DescriptorTest.java
+++ b/src/test/java/cobaltrack/sidecar/DescriptorTest.java
@@ -170,8 +170,9 @@
     private static void awaitReady(Process p, int port) throws Exception {
         for (int i = 0; p.isAlive() && i < 4000; i++) {
             try (TestClient c = new TestClient(port)) {
-                // It listens a moment before it is ready.
-                if (c.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n").status() == 200) {
+                // It listens a moment before it is ready; until then whoever has the port may close unread.
+                TestClient.Answer a = c.ask("GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+                if (a != null && a.status() == 200) {
                     return;
                 }
             } catch (IOException x) {
