Fail what a drain holds 0.6 s before the kill also where deadlines are short

Cause: the drain's last step was never sooner than 900 ms after SIGTERM (500 ms open, 400 ms for crossings), while SIGKILL may come 700 ms after the longest deadline. With deadlines of 300 ms that left 100 ms, with 200 ms or less nothing: what was still held was lost. Change: the three times are a value of their own, derived from the longest deadline. Deadlines of 800 ms and more keep the times that they had. DrainScheduleTest fails with the old formula for 50 to 500 ms.

--- a/src/main/java/cobaltrack/sidecar/ClientServer.java
+++ b/src/main/java/cobaltrack/sidecar/ClientServer.java
@@ -22,16 +22,6 @@
  * Listens for the application: how many connections it may have and for how long, readiness and the drain.
  */
 final class ClientServer {
-    /** New connections go on coming for up to 400 ms after SIGTERM; the rest is for a late loop. */
-    private static final double ACCEPT_LEAST_MS = 500;
-    /** A stopped process is killed no sooner than the longest deadline, or this if that is longer, ... */
-    private static final double KILL_DEADLINE_MOST_MS = 3000;
-    /** ... and 700 ms more, of which 600 ms are kept for a late loop and for the last answers to go out. */
-    private static final double KILL_AFTER_DEADLINE_MS = 100;
-    /** Of that, the time for what was taken last; most answers come in far less. */
-    private static final double LAST_ANSWERS_MS = 900;
-    /** How long new connections are still taken once idle ones close: for the requests that crossed the close. */
-    private static final double CROSSED_MS = 400;
     /** A request comes whole within this time, or is answered 408: bad clients are owed a word within 3 s. */
     private static final double RECEIVE_MOST_MS = 2500;
     /** A client that does not read its answer for so long is gone. */
@@ -52,7 +42,7 @@
     private final Clock clock;
     private final Sidecar sidecar;
     private final RequestCheck check;
-    private final double longestDeadline;
+    private final DrainSchedule drainSchedule;
     private final int most;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
@@ -72,8 +62,7 @@
         this.clock = clock;
         this.sidecar = sidecar;
         this.check = new RequestCheck(settings);
-        this.longestDeadline = settings.classes().stream().mapToDouble(Contract.RequestClass::deadline)
-                .max().orElse(0);
+        this.drainSchedule = DrainSchedule.of(settings);
         this.most = most;
         loop.scheduleAtFixedRate(() -> FreshLook.before(loop, this::sweep), SWEEP_MS, SWEEP_MS,
                 TimeUnit.MILLISECONDS);
@@ -226,17 +215,15 @@
      */
     void drain(Runnable whenDrained) {
         drained = whenDrained;
-        double limit = Math.min(KILL_DEADLINE_MOST_MS, longestDeadline) + KILL_AFTER_DEADLINE_MS;
-        double closing = Math.max(ACCEPT_LEAST_MS, limit - LAST_ANSWERS_MS);
-        drainStep(closing, () -> {
+        drainStep(drainSchedule.closeIdleAt(), () -> {
             draining = true;
             closeAll(ClientConnection.Phase.IDLE);
         });
-        drainStep(closing + CROSSED_MS, () -> {
+        drainStep(drainSchedule.stopAcceptingAt(), () -> {
             accepting = false;
             listener.close();
         });
-        drainStep(Math.max(limit, closing + CROSSED_MS), () -> {
+        drainStep(drainSchedule.failHeldAt(), () -> {
             expired = true;
             sidecar.failAll();
             closeAll(ClientConnection.Phase.SILENT);
