Round the loop's waits up to whole milliseconds, so that it sleeps until its timers

Cause: NioIoHandler.select rounds the wait for the next timer to the nearest millisecond, and with less than half a millisecond left polls without waiting. Every timer so ends in a stretch in which the loop calls selectNow over and over: an idle sidecar on a plain machine makes 340 to 3,900 turns a second (twelve quarters of a second looked at). An earlier count saw tasks in 25 of 23,142 turns: ruled out are tasks that set each other. Change: a handler around Netty's tells it the wait rounded up. A timer runs up to 1 ms late. A detector logs one line, at most each 10 s, when the loop uses half of the time with fewer than five socket events a second. Without the mend CoarseTimerIoHandlerTest counts 32,821 turns for 200 timers of an idle sidecar; it allows 800. Lists of 1,024 servers are shown to fit the heap of service (ProcessTest).

--- /dev/null
+++ b/src/main/java/cobaltrack/sidecar/CoarseTimerIoHandler.java
@@ -0,0 +1,119 @@
+package cobaltrack.sidecar;
+
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.IoRegistration;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.ThreadAwareExecutor;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Netty's NIO handler with waits rounded up to whole milliseconds, which is all that a selector can wait for.
+ *
+ * <p>{@link NioIoHandler} rounds to the nearest millisecond. With less than half a millisecond left to the next timer
+ * it does not wait at all, and the loop polls its sockets over and over until the timer is due: an idle sidecar made
+ * some two thousand such turns a second. Rounded up, a timer runs up to a millisecond late, and the loop sleeps until
+ * then.
+ */
+final class CoarseTimerIoHandler implements IoHandler {
+    private static final long NANOS_PER_MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+
+    private final IoHandler delegate;
+    private final LoopActivity activity;
+    private final RoundingContext rounding = new RoundingContext();
+
+    private CoarseTimerIoHandler(IoHandler delegate, LoopActivity activity) {
+        this.delegate = delegate;
+        this.activity = activity;
+    }
+
+    /** Makes handlers that count what they do in this activity; it is for one loop. */
+    static IoHandlerFactory newFactory(LoopActivity activity) {
+        IoHandlerFactory nio = NioIoHandler.newFactory();
+        // No lambda: each one that a start links brings it nearer to where the JVM makes a class of its own for that.
+        return new IoHandlerFactory() {
+            @Override
+            public IoHandler newHandler(ThreadAwareExecutor executor) {
+                return new CoarseTimerIoHandler(nio.newHandler(executor), activity);
+            }
+        };
+    }
+
+    /** This wait for a timer in nanoseconds, rounded up to whole milliseconds; one that is over stays as it is. */
+    static long roundUp(long delayNanos) {
+        if (delayNanos <= 0 || delayNanos > Long.MAX_VALUE - NANOS_PER_MILLI) {
+            return delayNanos;
+        }
+        return (delayNanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI * NANOS_PER_MILLI;
+    }
+
+    @Override
+    public int run(IoHandlerContext context) {
+        rounding.context = context;
+        int handled = delegate.run(rounding);
+        activity.turn(handled);
+        return handled;
+    }
+
+    @Override
+    public void initialize() {
+        delegate.initialize();
+    }
+
+    @Override
+    public void prepareToDestroy() {
+        delegate.prepareToDestroy();
+    }
+
+    @Override
+    public void destroy() {
+        delegate.destroy();
+    }
+
+    @Override
+    public IoRegistration register(IoHandle handle) throws Exception {
+        return delegate.register(handle);
+    }
+
+    @Override
+    public void wakeup() {
+        delegate.wakeup();
+    }
+
+    @Override
+    public boolean isCompatible(Class<? extends IoHandle> handleType) {
+        return delegate.isCompatible(handleType);
+    }
+
+    /** The loop as its handler sees it, with the rounded wait. */
+    private static final class RoundingContext implements IoHandlerContext {
+        private IoHandlerContext context;
+
+        @Override
+        public boolean canBlock() {
+            return context.canBlock();
+        }
+
+        @Override
+        public long delayNanos(long currentTimeNanos) {
+            return roundUp(context.delayNanos(currentTimeNanos));
+        }
+
+        @Override
+        public long deadlineNanos() {
+            return context.deadlineNanos();
+        }
+
+        @Override
+        public void reportActiveIoTime(long activeNanos) {
+            context.reportActiveIoTime(activeNanos);
+        }
+
+        @Override
+        public boolean shouldReportActiveIoTime() {
+            return context.shouldReportActiveIoTime();
+        }
+    }
+}
--- a/src/main/java/cobaltrack/sidecar/Main.java
+++ b/src/main/java/cobaltrack/sidecar/Main.java
@@ -4,10 +4,10 @@
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * The command line: {@code serve} runs a real sidecar, {@code check} only starts one and stops it again, {@code
@@ -28,6 +28,8 @@
     /** How long a start waits for a pushed list; with the agent out of reach the last one known must do. */
     private static final long LISTED_MOST_MS = 2000;
 
+    private static final Consumer<String> LOG = System.err::println;
+
     private Main() { }
 
     /** Runs one of them; exits with 2 on bad usage and 1 on bad configuration. */
@@ -53,10 +55,13 @@
         ObjectMapper mapper = new ObjectMapper();
         try {
             Config config = Config.read(path, mapper);
-            EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-            Parts parts = wire(config, mapper, loop, new Clock(), NioSocketChannel.class);
+            LoopActivity activity = new LoopActivity();
+            EventLoop loop = eventLoop(activity);
+            Clock clock = new Clock();
+            Parts parts = wire(config, mapper, loop, clock, NioSocketChannel.class);
+            BusyLoopDetector.start(loop, activity, clock, LOG);
             Warmup.run(config.settings());
-            Reload reload = new Reload(path, mapper, parts.discovery, Main::log);
+            Reload reload = new Reload(path, mapper, parts.discovery, LOG);
             // On the loop, which owns the watch and takes several in their order.
             Hangup.run(() -> loop.execute(reload));
             parts.server.listen(config.listen()).syncUninterruptibly();
@@ -76,6 +81,11 @@
         }
     }
 
+    /** A loop of its own thread, which counts what it does in this activity. */
+    static EventLoop eventLoop(LoopActivity activity) {
+        return new MultiThreadIoEventLoopGroup(1, CoarseTimerIoHandler.newFactory(activity)).next();
+    }
+
     private static String configuration() {
         String path = System.getenv("PROXY_CONFIG");
         if (path == null || path.isEmpty()) {
@@ -95,9 +105,9 @@
                       Class<? extends Channel> channels) {
         EndpointPool pool = new EndpointPool(loop, channels, clock, config.connectTimeout(),
                 config.endpointIdle(), Math.max(1, config.sockets() * ENDPOINT_SHARE / SHARES));
-        Sidecar sidecar = new Sidecar(loop, clock, config.settings(), config.seed(), pool, Main::log);
+        Sidecar sidecar = new Sidecar(loop, clock, config.settings(), config.seed(), pool, LOG);
         Discovery discovery = new Discovery(loop, NioSocketChannel.class, clock, config.discovery(), mapper,
-                config.settings(), config.seed(), config.known(), sidecar, Main::log);
+                config.settings(), config.seed(), config.known(), sidecar, LOG);
         ClientServer server = new ClientServer(loop, clock, sidecar, config.settings(),
                 Math.max(1, config.sockets() * CLIENT_SHARE / SHARES));
         return new Parts(server, sidecar, discovery, () -> {
@@ -124,10 +134,6 @@
         }
     }
 
-    private static void log(String line) {
-        System.err.println(line);
-    }
-
     private static <T> T quit(String why) {
         System.err.println("cobaltrack: " + why);
         System.exit(1);
--- a/src/main/java/cobaltrack/sidecar/Warmup.java
+++ b/src/main/java/cobaltrack/sidecar/Warmup.java
@@ -9,9 +9,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -48,7 +46,7 @@
     private static final long MOST_MS = 1500;
     private static final byte[] BODY = new byte[256];
 
-    private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    private final EventLoop loop = Main.eventLoop(new LoopActivity());
     private final CountDownLatch done = new CountDownLatch(1);
     private final Contract.Settings settings;
     private int left = REQUESTS;
--- /dev/null
+++ b/src/test/java/cobaltrack/sidecar/BusyLoopDetectorTest.java
@@ -0,0 +1,75 @@
+package cobaltrack.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class BusyLoopDetectorTest {
+    private final LoopActivity activity = new LoopActivity();
+    private final List<String> log = new ArrayList<>();
+    private long nanos;
+    private long processorNanos;
+    private final BusyLoopDetector detector =
+            new BusyLoopDetector(activity, new Clock(() -> nanos), () -> processorNanos, log::add);
+
+    @BeforeEach
+    void start() {
+        detector.run();
+    }
+
+    /** Lets time pass in which the loop uses so much processor time, in so many turns with so many events. */
+    private void pass(long millis, long processorMillis, int turns, int socketEvents) {
+        nanos += TimeUnit.MILLISECONDS.toNanos(millis);
+        processorNanos += TimeUnit.MILLISECONDS.toNanos(processorMillis);
+        for (int i = 0; i < turns; i++) {
+            activity.turn(i == 0 ? socketEvents : 0);
+        }
+        detector.run();
+    }
+
+    @Test
+    void aLoopThatSpinsIsLogged() {
+        pass(1000, 700, 40_000, 2);
+        assertEquals(List.of("event loop busy without cause: 700 ms of processor time in 1000 ms, 40000 turns, "
+                + "2 socket events"), log);
+    }
+
+    @Test
+    void oneLineInTenSecondsIsEnough() {
+        for (int second = 0; second < 10; second++) {
+            pass(1000, 900, 50_000, 0);
+        }
+        assertEquals(1, log.size());
+        pass(1000, 900, 50_000, 0);
+        assertEquals(2, log.size());
+    }
+
+    @Test
+    void aLoopThatHasWorkOrRestsIsNot() {
+        pass(1000, 900, 300, 200);
+        pass(1000, 400, 50_000, 0);
+        assertEquals(List.of(), log);
+    }
+
+    @Test
+    void aLateCheckIsJudgedByTheTimeThatPassed() {
+        pass(4000, 1500, 3, 0);
+        assertEquals(0, log.size());
+        pass(4000, 2500, 3, 19);
+        assertEquals(1, log.size());
+    }
+
+    @Test
+    void processorTimeThatIsNotKnownIsNoReason() {
+        processorNanos = ThreadProcessorTime.UNKNOWN;
+        detector.run();
+        nanos += TimeUnit.SECONDS.toNanos(1);
+        processorNanos = TimeUnit.SECONDS.toNanos(1);
+        detector.run();
+        assertEquals(List.of(), log);
+    }
+}
--- /dev/null
+++ b/src/test/java/cobaltrack/sidecar/CoarseTimerIoHandlerTest.java
@@ -0,0 +1,71 @@
+package cobaltrack.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** A loop that waits for its next timer must sleep, and not poll its sockets until the timer is due. */
+class CoarseTimerIoHandlerTest {
+    private static final int TIMERS = 200;
+    /** A turn in which a timer is due, one that sets the next one, and the sweeps of a sidecar in between. */
+    private static final int TURNS_PER_TIMER = 4;
+    /** Somewhat over three milliseconds: what is left of it takes every value below a millisecond. */
+    private static final long TIMER_NANOS = 3_370_000;
+
+    private final LoopActivity activity = new LoopActivity();
+    private final EventLoop loop = Main.eventLoop(activity);
+
+    @AfterEach
+    void stop() {
+        loop.parent().shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void aLoopWithNothingButTimersTakesAFewTurnsForEach() throws Exception {
+        assertTrue(turnsOfTimers(loop, activity) <= TIMERS * TURNS_PER_TIMER);
+    }
+
+    @Test
+    void anIdleSidecarTakesAFewTurnsForEachTimer() throws Exception {
+        try (TestNode node = new TestNode("127.0.0.1:1")) {
+            long turns = turnsOfTimers(node.group.next(), node.activity);
+            assertTrue(turns <= TIMERS * TURNS_PER_TIMER, turns + " turns");
+        }
+    }
+
+    @Test
+    void aWaitIsRoundedUpToWholeMilliseconds() {
+        assertEquals(1_000_000, CoarseTimerIoHandler.roundUp(1));
+        assertEquals(1_000_000, CoarseTimerIoHandler.roundUp(499_999));
+        assertEquals(1_000_000, CoarseTimerIoHandler.roundUp(1_000_000));
+        assertEquals(2_000_000, CoarseTimerIoHandler.roundUp(1_000_001));
+    }
+
+    @Test
+    void whatIsDueOrNeverIsStaysAsItIs() {
+        assertEquals(0, CoarseTimerIoHandler.roundUp(0));
+        assertEquals(-5, CoarseTimerIoHandler.roundUp(-5));
+        assertEquals(Long.MAX_VALUE, CoarseTimerIoHandler.roundUp(Long.MAX_VALUE));
+    }
+
+    /** The turns that a loop took while this many timers ran, each set by the one before. */
+    private static long turnsOfTimers(EventLoop loop, LoopActivity activity) throws Exception {
+        CountDownLatch done = new CountDownLatch(TIMERS);
+        long before = loop.submit(activity::turns).get();
+        loop.execute(() -> next(loop, done));
+        assertTrue(done.await(FakeServer.PATIENCE_S, TimeUnit.SECONDS));
+        return loop.submit(activity::turns).get() - before;
+    }
+
+    private static void next(EventLoop loop, CountDownLatch done) {
+        done.countDown();
+        if (done.getCount() > 0) {
+            loop.schedule(() -> next(loop, done), TIMER_NANOS, TimeUnit.NANOSECONDS);
+        }
+    }
+}
--- a/src/test/java/cobaltrack/sidecar/FakeServer.java
+++ b/src/test/java/cobaltrack/sidecar/FakeServer.java
@@ -32,6 +32,11 @@
             out.flush();
         }
 
+        /** One chunk of an answer in chunks. */
+        void chunk(String content) throws IOException {
+            text(Integer.toHexString(content.length()) + "\r\n" + content + "\r\n");
+        }
+
         void answer(String status, String headers, String body) throws IOException {
             text("HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n" + headers + "\r\n" + body);
         }
--- a/src/test/java/cobaltrack/sidecar/ProcessTest.java
+++ b/src/test/java/cobaltrack/sidecar/ProcessTest.java
@@ -184,6 +184,48 @@
         }
     }
 
+    // The heap of the deploy file, and lists as large as a fleet may become, told anew and changed under requests.
+    @Test
+    void listsOfAThousandServersFitInTheHeapOfService() throws Exception {
+        int servers = 1024;
+        CountDownLatch told = new CountDownLatch(1);
+        try (FakeServer e = new FakeServer((r, w) -> w.ok("done"))) {
+            String[] hosts = new String[servers];
+            String[] draining = new String[servers / 2];
+            for (int i = 0; i < servers; i++) {
+                hosts[i] = TestNode.host("server-with-a-long-name-" + i, e.address(), "ready");
+            }
+            for (int i = 0; i < draining.length; i++) {
+                draining[i] = TestNode.host("server-with-a-long-name-" + i, e.address(), "draining");
+            }
+            try (FakeServer d = new FakeServer((r, w) -> {
+                w.text("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                for (int i = 0; i < 20; i++) {
+                    w.chunk(TestNode.list(50 + 2 * i, true, hosts).replace(",\"", ",\n        \"") + "\n");
+                    w.chunk(TestNode.list(51 + 2 * i, false, draining) + "\n");
+                }
+                told.countDown();
+            })) {
+                String listen = FakeServer.refusing();
+                int port = Integer.parseInt(listen.substring(listen.indexOf(':') + 1));
+                Path errors = dir.resolve("err");
+                Process p = start("serve", Files.writeString(dir.resolve("c.json"),
+                        TestNode.config(listen, d.address(), 1024, e.address())), errors, "-XX:+UseSerialGC",
+                        "-Xms48m", "-Xmx48m", "-XX:MaxDirectMemorySize=32m", "-XX:+ExitOnOutOfMemoryError");
+                try (TestClient c = connect(p, port)) {
+                    assertTrue(told.await(FakeServer.PATIENCE_S, TimeUnit.SECONDS));
+                    for (int i = 0; i < 50; i++) {
+                        assertEquals("done", c.ask(TestClient.status("5")).body());
+                    }
+                    assertTrue(p.isAlive());
+                    assertEquals("", Files.readString(errors));
+                } finally {
+                    p.destroyForcibly();
+                }
+            }
+        }
+    }
+
     @Test
     void hangupsAndATerminationTogetherUnderLoadLeaveEachRequestOneAnswer() throws Exception {
         FakeServer.Script watch = (r, w) -> w.text("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
--- a/src/test/java/cobaltrack/sidecar/TestNode.java
+++ b/src/test/java/cobaltrack/sidecar/TestNode.java
@@ -3,8 +3,7 @@
 import cobaltrack.Contract;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.Channel;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -14,7 +13,8 @@
 
 /** A whole sidecar in this process, on a free port, from a configuration as the platform gives it. */
 final class TestNode implements AutoCloseable {
-    final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    final LoopActivity activity = new LoopActivity();
+    final EventLoopGroup group = Main.eventLoop(activity).parent();
     final ClientServer server;
     final Sidecar sidecar;
     final Discovery watch;
