Split EndpointPool into pool, endpoint, connection, attempt and decoder

A file each, with the states private to their owners: the pool no longer reaches into a connection's fields, and an endpoint keeps its own idle limit. Constants carry MIN_ and MAX_ instead of suffixes. Nothing else changes.

--- a/src/main/java/cobaltrack/sidecar/ClientConnection.java
+++ b/src/main/java/cobaltrack/sidecar/ClientConnection.java
@@ -202,7 +202,7 @@
         }
         if (message instanceof HttpContent part) {
             ByteBuf bytes = part.content();
-            if (body.size() + bytes.readableBytes() > EndpointPool.BODY_MOST) {
+            if (body.size() + bytes.readableBytes() > EndpointConnection.MAX_BODY_BYTES) {
                 reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
                 return;
             }
@@ -271,7 +271,7 @@
     }
 
     @Override
-    public void served(EndpointPool.Answer answer) {
+    public void served(EndpointAttempt.Answer answer) {
         FullHttpResponse response = response(HttpResponseStatus.OK, answer.body());
         if (answer.contentType() != null) {
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
--- /dev/null
+++ b/src/main/java/cobaltrack/sidecar/EndpointConnection.java
@@ -0,0 +1,309 @@
+package cobaltrack.sidecar;
+
+import cobaltrack.Contract;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One connection to an endpoint and the attempt on it, if any. It writes one request at a time, reads its answer and
+ * judges what came: an answer that is spoilt, stalls or is followed by more ends the connection.
+ */
+final class EndpointConnection extends SimpleChannelInboundHandler<HttpObject> {
+    /** The longest body that is passed on, in either direction. */
+    static final int MAX_BODY_BYTES = 64 * 1024;
+
+    private static final String NOT_STARTED = "Not-Started";
+    /** Interim answers ahead of the real one; more are not meant to end. */
+    private static final int MAX_INTERIM_ANSWERS = 8;
+    /** An answer that has begun and brings nothing for so long will not end. */
+    private static final double STALL_MS = 500;
+
+    private final EndpointPool pool;
+    private final EventLoop loop;
+    private final Clock clock;
+    private final Endpoint endpoint;
+    private final EndpointResponseDecoder decoder = new EndpointResponseDecoder();
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private Channel channel;
+    private EndpointAttempt attempt;
+    private boolean used;
+    private boolean written;
+    private HttpResponse head;
+    private int interimAnswers;
+    private boolean whole;
+    private boolean surplus;
+    private double readAt;
+    private Future<?> stall;
+    private double idleSince;
+    private double idleFor;
+
+    /** A connection that has no channel yet. */
+    EndpointConnection(EndpointPool pool, EventLoop loop, Clock clock, Endpoint endpoint) {
+        this.pool = pool;
+        this.loop = loop;
+        this.clock = clock;
+        this.endpoint = endpoint;
+    }
+
+    /** Connects it to its channel, which may not be up yet. */
+    void channel(Channel connecting) {
+        channel = connecting;
+    }
+
+    /** True while requests can be written. */
+    boolean active() {
+        return channel.isActive();
+    }
+
+    /** Closes the connection; an attempt on it ends as broken, unless it was given up before. */
+    void close() {
+        channel.close();
+    }
+
+    /** True once a request has been written, even in part. */
+    boolean used() {
+        return used;
+    }
+
+    /** True once the last byte of the request on it has been written. */
+    boolean written() {
+        return written;
+    }
+
+    /** When it last became idle, by the clock. */
+    double idleSince() {
+        return idleSince;
+    }
+
+    /** Sets up the pipeline of its channel. */
+    void addTo(ChannelPipeline pipeline) {
+        pipeline.addLast(new Bytes(), decoder, new HttpRequestEncoder(), this);
+    }
+
+    /**
+     * Guards against an answer to nobody: a second copy, or noise, must not wait here for the next
+     * request.
+     */
+    private final class Bytes extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (attempt == null || attempt.over()) {
+                ((ByteBuf) message).release();
+                if (attempt == null) {
+                    pool.distrust();
+                }
+                ctx.close();
+            } else {
+                readAt = clock.now();
+                ctx.fireChannelRead(message);
+            }
+        }
+    }
+
+    /**
+     * Sends the attempt's request, unless that is no longer wanted: while its connection came up the request may have
+     * ended, or the endpoint may have drained, moved or been started anew.
+     */
+    void begin(EndpointAttempt next) {
+        FullHttpRequest request = next.over() || endpoint.ended() ? null : next.request();
+        if (request != null) {
+            write(next, request);
+            return;
+        }
+        // Nothing was sent. The endpoint has paid for the connection, so the next request has it.
+        release();
+        next.end(Contract.Outcome.CONNECT_FAILED, null, null);
+    }
+
+    private void write(EndpointAttempt next, FullHttpRequest request) {
+        attempt = next;
+        used = true;
+        next.startedOn(this);
+        written = false;
+        head = null;
+        interimAnswers = 0;
+        whole = false;
+        surplus = false;
+        readAt = 0;
+        idleFor = idleSince > 0 ? clock.now() - idleSince : 0;
+        body.reset();
+        channel.writeAndFlush(request).addListener(f -> {
+            if (f.isSuccess()) {
+                written = true;
+            } else {
+                spoilt();
+            }
+        });
+    }
+
+    /** Keeps the connection for the next request, or closes it where it may not be used again. */
+    void release() {
+        if (channel.isActive() && !endpoint.ended() && (pool.trusted() || !used)) {
+            idleSince = clock.now();
+            endpoint.addIdle(this);
+        } else {
+            channel.close();
+        }
+    }
+
+    /** Takes it out of its endpoint's idle ones. */
+    void forgetIdle() {
+        endpoint.removeIdle(this);
+    }
+
+    // A break before the last byte was written proves that nothing ran, a later one proves nothing.
+    private void broken() {
+        if (attempt == null) {
+            return;
+        }
+        EndpointAttempt ended = attempt;
+        attempt = null;
+        if (!ended.over() && readAt == 0) {
+            endpoint.closedAfterIdle(idleFor);
+        }
+        ended.end(written ? Contract.Outcome.RESET : Contract.Outcome.CONNECT_FAILED, null, null);
+    }
+
+    // What comes spoilt has run, perhaps, and the connection is of no further use.
+    private void spoilt() {
+        channel.close();
+        broken();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) throws IOException {
+        // Behind a whole answer anything may follow in the same pass; the end of the pass settles it.
+        if (attempt == null || whole) {
+            surplus = true;
+            return;
+        }
+        if (message.decoderResult().isFailure() || message instanceof HttpResponse r && !sound(r)) {
+            spoilt();
+            return;
+        }
+        if (message instanceof HttpContent part) {
+            ByteBuf bytes = part.content();
+            if (body.size() + bytes.readableBytes() > MAX_BODY_BYTES) {
+                spoilt();
+                return;
+            }
+            bytes.readBytes(body, bytes.readableBytes());
+            if (part instanceof LastHttpContent) {
+                whole = !isInterim(head);
+                head = whole ? head : null;
+                decoder.answerEnded();
+            }
+        }
+    }
+
+    private static boolean isInterim(HttpResponse response) {
+        return response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    }
+
+    // Guards against what can't be told from an answer cut short by a dying endpoint, against reading
+    // on what can't be passed on anyway, and against interim answers without end.
+    private boolean sound(HttpResponse response) {
+        head = response;
+        if (isInterim(response)) {
+            interimAnswers++;
+            return interimAnswers <= MAX_INTERIM_ANSWERS;
+        }
+        String encoding = response.headers().get(HttpHeaderNames.TRANSFER_ENCODING);
+        if (encoding != null) {
+            return HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encoding);
+        }
+        return HttpUtil.isContentLengthSet(response) && HttpUtil.getContentLength(response) <= MAX_BODY_BYTES;
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (attempt == null || attempt.over()) {
+            return;
+        }
+        if (whole) {
+            finish();
+        } else if (stall == null && decoder.holdsMore()) {
+            // Guards against an answer that begins and never ends, on a connection that stays open.
+            watchForStall(attempt, STALL_MS);
+        }
+    }
+
+    private void watchForStall(EndpointAttempt watched, double wait) {
+        stall = loop.schedule(() -> {
+            stall = null;
+            double left = readAt + STALL_MS - clock.now();
+            if (attempt != watched || watched.over()) {
+                return;
+            }
+            if (left > 0) {
+                watchForStall(watched, left);
+            } else {
+                spoilt();
+            }
+        }, (long) Math.ceil(wait), TimeUnit.MILLISECONDS);
+    }
+
+    private void finish() {
+        EndpointAttempt done = attempt;
+        HttpResponse response = head;
+        attempt = null;
+        head = null;
+        if (stall != null) {
+            stall.cancel(false);
+            stall = null;
+        }
+        if (written && HttpUtil.isKeepAlive(response) && !surplus && !decoder.holdsMore()) {
+            pool.rest(this);
+        } else {
+            channel.close();
+        }
+        Contract.Outcome outcome = outcome(response);
+        HttpHeaders headers = response.headers();
+        EndpointAttempt.Answer answer = outcome == Contract.Outcome.SERVED
+                ? new EndpointAttempt.Answer(body.toByteArray(), headers.get(HttpHeaderNames.CONTENT_TYPE)) : null;
+        done.end(outcome, answer, LoadReport.parse(headers.getAll(LoadReport.HEADER)));
+    }
+
+    private static Contract.Outcome outcome(HttpResponse response) {
+        HttpResponseStatus status = response.status();
+        if (status.equals(HttpResponseStatus.OK)) {
+            return Contract.Outcome.SERVED;
+        }
+        boolean turnedAway = (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT))
+                && "1".equals(response.headers().get(NOT_STARTED));
+        return turnedAway ? Contract.Outcome.FULL : Contract.Outcome.ERROR;
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        endpoint.removeIdle(this);
+        broken();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+}
--- a/src/main/java/cobaltrack/sidecar/Sidecar.java
+++ b/src/main/java/cobaltrack/sidecar/Sidecar.java
@@ -29,7 +29,7 @@
 final class Sidecar implements Contract.Actions, Discovery.Listener {
     /** Where the one final answer to a request goes. */
     interface Client {
-        void served(EndpointPool.Answer answer);
+        void served(EndpointAttempt.Answer answer);
 
         void refused(double retryAfter);
 
@@ -365,12 +365,12 @@
     }
 
     /** One attempt, whose outcome is told to the module exactly once. */
-    private final class Attempt implements EndpointPool.Listener {
+    private final class Attempt implements EndpointAttempt.Listener {
         private final Held held;
         private final int index;
         private final double sentAt;
         private double endAt;
-        private EndpointPool.Attempt attempt;
+        private EndpointAttempt attempt;
         private Future<?> timer;
         private Contract.Outcome outcome;
 
@@ -403,7 +403,7 @@
         }
 
         @Override
-        public void ended(Contract.Outcome how, EndpointPool.Answer answer, Contract.Report report) {
+        public void ended(Contract.Outcome how, EndpointAttempt.Answer answer, Contract.Report report) {
             if (outcome != null) {
                 return;
             }
--- a/src/test/java/cobaltrack/sidecar/EndpointPoolTest.java
+++ b/src/test/java/cobaltrack/sidecar/EndpointPoolTest.java
@@ -99,14 +99,14 @@
 
     private static CompletableFuture<Contract.Outcome> begin(EventLoop loop, EndpointPool pool) {
         CompletableFuture<Contract.Outcome> ended = new CompletableFuture<>();
-        loop.execute(() -> pool.send("s", new EndpointPool.Listener() {
+        loop.execute(() -> pool.send("s", new EndpointAttempt.Listener() {
             @Override
             public FullHttpRequest request() {
                 return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api");
             }
 
             @Override
-            public void ended(Contract.Outcome outcome, EndpointPool.Answer answer, Contract.Report report) {
+            public void ended(Contract.Outcome outcome, EndpointAttempt.Answer answer, Contract.Report report) {
                 ended.complete(outcome);
             }
         }));
