Name the select barrier, pending requests and the loop's lateness by the field's terms

FreshLook is SelectBarrier, Hangup HangupSignal, Sidecar.Held PendingRequest; what a late loop takes off a client's wait is a class of its own, LoopLateness. Nothing else changes.

--- a/src/main/java/cobaltrack/sidecar/ClientConnection.java
+++ b/src/main/java/cobaltrack/sidecar/ClientConnection.java
@@ -66,7 +66,7 @@
     private HttpRequest head;
     private RequestCheck.Checked checked;
     private boolean complete;
-    private Sidecar.Held held;
+    private Sidecar.PendingRequest pending;
 
     ClientConnection(ClientServer server, Clock clock) {
         this.server = server;
@@ -171,8 +171,8 @@
     }
 
     private void giveUp() {
-        Sidecar.Held gone = held;
-        held = null;
+        Sidecar.PendingRequest gone = pending;
+        pending = null;
         if (gone != null) {
             gone.abandon();
         }
@@ -262,11 +262,11 @@
             refused(0);
             return;
         }
-        Sidecar.Held taken = server.sidecar().take(request, body.toByteArray(), this);
+        Sidecar.PendingRequest taken = server.sidecar().take(request, body.toByteArray(), this);
         body.reset();
         // The answer may have gone out already.
         if (phase == Phase.OPEN) {
-            held = taken;
+            pending = taken;
         }
     }
 
@@ -316,7 +316,7 @@
     }
 
     private void write(FullHttpResponse response) {
-        held = null;
+        pending = null;
         if (!HttpUtil.isKeepAlive(head) || server.draining()) {
             enter(Phase.ENDING);
             end(response);
--- a/src/main/java/cobaltrack/sidecar/ClientServer.java
+++ b/src/main/java/cobaltrack/sidecar/ClientServer.java
@@ -64,7 +64,7 @@
         this.check = new RequestCheck(settings);
         this.drainSchedule = DrainSchedule.of(settings);
         this.most = most;
-        loop.scheduleAtFixedRate(() -> FreshLook.before(loop, this::sweep), SWEEP_MS, SWEEP_MS,
+        loop.scheduleAtFixedRate(() -> SelectBarrier.runAfterSelect(loop, this::sweep), SWEEP_MS, SWEEP_MS,
                 TimeUnit.MILLISECONDS);
     }
 
@@ -231,7 +231,7 @@
     }
 
     private void drainStep(double in, Runnable step) {
-        loop.schedule(() -> FreshLook.before(loop, () -> {
+        loop.schedule(() -> SelectBarrier.runAfterSelect(loop, () -> {
             step.run();
             finishDrain();
         }), (long) in, TimeUnit.MILLISECONDS);
--- a/src/main/java/cobaltrack/sidecar/EndpointPool.java
+++ b/src/main/java/cobaltrack/sidecar/EndpointPool.java
@@ -88,7 +88,7 @@
         if (endpoint == null) {
             attempt.end(Contract.Outcome.NEVER_SENT, null, null);
         } else {
-            FreshLook.before(loop, () -> begin(endpoint, attempt));
+            SelectBarrier.runAfterSelect(loop, () -> begin(endpoint, attempt));
         }
         return attempt;
     }
@@ -124,7 +124,7 @@
             if (f.isSuccess()) {
                 channel.closeFuture().addListener(closed -> open--);
             }
-            FreshLook.before(loop, () -> connected(connection, attempt, f.isSuccess()));
+            SelectBarrier.runAfterSelect(loop, () -> connected(connection, attempt, f.isSuccess()));
         });
     }
 
--- a/src/main/java/cobaltrack/sidecar/Main.java
+++ b/src/main/java/cobaltrack/sidecar/Main.java
@@ -63,7 +63,7 @@
             Warmup.run(config.settings());
             Reload reload = new Reload(path, mapper, parts.discovery, LOG);
             // On the loop, which owns the watch and takes several in their order.
-            Hangup.run(() -> loop.execute(reload));
+            HangupSignal.handle(() -> loop.execute(reload));
             parts.server.listen(config.listen()).syncUninterruptibly();
             if (onlyCheck) {
                 System.exit(0);
--- a/src/main/java/cobaltrack/sidecar/Sidecar.java
+++ b/src/main/java/cobaltrack/sidecar/Sidecar.java
@@ -36,24 +36,7 @@
         void failed();
     }
 
-    /**
-     * Taken off what the client waits, for its request's way here, our answer's way back and a late loop; of a
-     * short wait no more than this share.
-     */
-    private static final double ANSWER_MARGIN = 25;
-    private static final double ANSWER_SHARE = 0.1;
-    /**
-     * The loop's lateness is taken off too, once for the request that it found late and once for the answer that it
-     * will give late; of a short wait no more than this share. Longer than a few seconds it is not remembered.
-     */
-    private static final double LATE_TIMES = 2;
-    private static final double LATE_SHARE = 0.3;
-    private static final double LATE_HALVED_IN = 1500;
-    private static final double LATE_MOST = 1000;
-    /**
-     * Of that margin, how long after its deadline a request is failed that the module, told of the deadline, has
-     * not ended.
-     */
+    /** Of the margin, how long after its deadline a request is failed that the module has not ended by then. */
     private static final double MODULE_GRACE = 0.2;
     private static final double MILLIS = 1000;
     private static final double NANOS_IN_MILLI = 1e6;
@@ -64,16 +47,14 @@
     private final EndpointPool pool;
     private final Consumer<String> log;
     private final Contract.Events module;
-    private final Map<Long, Held> open = new HashMap<>();
+    private final LoopLateness lateness;
+    private final Map<Long, PendingRequest> open = new HashMap<>();
     private final Set<String> ids = new HashSet<>();
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
     private Runnable watch;
     private Runnable whenListed = () -> { };
     private boolean telling;
     private long nextId;
-    /** How late the loop lately was, in milliseconds, and when that was. */
-    private double late;
-    private double lateAt;
 
     /** A sidecar that has taken nothing. */
     Sidecar(EventLoop loop, Clock clock, Contract.Settings settings, long seed, EndpointPool pool,
@@ -83,6 +64,7 @@
         this.settings = settings;
         this.pool = pool;
         this.log = log;
+        this.lateness = new LoopLateness(clock);
         this.module = new Decide(settings, seed, this);
     }
 
@@ -119,22 +101,9 @@
         tell(() -> module.servers(clock.now(), why, List.of()));
     }
 
-    /** What is taken off a client's wait of so long while the loop is so late. */
-    static double margin(double timeout, double late) {
-        return Math.min(ANSWER_MARGIN, timeout * ANSWER_SHARE) + Math.min(LATE_TIMES * late, timeout * LATE_SHARE);
-    }
-
-    /** How late the loop lately ran what was due; it falls by half in a while. */
-    double late() {
-        return late * Math.pow(0.5, (clock.now() - lateAt) / LATE_HALVED_IN);
-    }
-
-    private void ran(double due) {
-        double now = clock.now();
-        if (now - due > late()) {
-            late = Math.min(LATE_MOST, now - due);
-            lateAt = now;
-        }
+    /** How late the loop that runs all this lately was. */
+    LoopLateness lateness() {
+        return lateness;
     }
 
     /** True if a request of this id is not over, or has an attempt out that may run. */
@@ -143,28 +112,29 @@
     }
 
     /** Takes a request, whose id is not held; the client is told its end exactly once. */
-    Held take(RequestCheck.Checked incoming, byte[] body, Client client) {
-        double margin = margin(incoming.timeout(), late());
+    PendingRequest take(RequestCheck.Checked incoming, byte[] body, Client client) {
+        double margin = lateness.margin(incoming.timeout());
         double left = incoming.timeout() - margin;
-        Held h = new Held(new Contract.Request(nextId++, incoming.classIndex(), incoming.tenantIndex(), left,
-                incoming.repeat()), incoming, body, client);
-        open.put(h.request.id, h);
+        Contract.Request request = new Contract.Request(nextId++, incoming.classIndex(), incoming.tenantIndex(),
+                left, incoming.repeat());
+        PendingRequest pending = new PendingRequest(request, incoming, body, client);
+        open.put(pending.request.id, pending);
         ids.add(incoming.id());
         tell(() -> {
             double now = clock.now();
-            h.endAt = now + left;
-            h.deadline = after(left + margin * MODULE_GRACE, h::endUnserved);
-            module.request(now, h.request);
+            pending.endAt = now + left;
+            pending.deadline = after(left + margin * MODULE_GRACE, pending::endUnserved);
+            module.request(now, pending.request);
         });
-        return h;
+        return pending;
     }
 
     /**
      * Fails whatever is still held: the process is about to be killed, and no answer at all would lose it.
      */
     void failAll() {
-        for (Held h : List.copyOf(open.values())) {
-            h.endUnserved();
+        for (PendingRequest pending : List.copyOf(open.values())) {
+            pending.endUnserved();
         }
     }
 
@@ -204,46 +174,46 @@
         long nanos = (long) Math.ceil(Math.max(0, millis) * NANOS_IN_MILLI);
         double due = clock.now() + Math.max(0, millis);
         return loop.schedule(() -> {
-            ran(due);
+            lateness.ran(due);
             task.run();
         }, nanos, TimeUnit.NANOSECONDS);
     }
 
     @Override
     public void send(Contract.Request r, String server, double within) {
-        Held h = open.get(r.id);
-        if (h != null) {
-            h.send(server, within);
+        PendingRequest pending = open.get(r.id);
+        if (pending != null) {
+            pending.send(server, within);
         }
     }
 
     @Override
     public void cancel(Contract.Request r, int attempt) {
-        Held h = open.get(r.id);
-        if (h != null && attempt >= 0 && attempt < h.attempts.size()) {
-            h.attempts.get(attempt).giveUp(Contract.Outcome.CANCELLED);
+        PendingRequest pending = open.get(r.id);
+        if (pending != null && attempt >= 0 && attempt < pending.attempts.size()) {
+            pending.attempts.get(attempt).giveUp(Contract.Outcome.CANCELLED);
         }
     }
 
     @Override
     public void refuse(Contract.Request r, double retryAfter) {
-        Held h = open.get(r.id);
-        if (h != null && !h.over) {
-            h.over();
-            if (h.mayRefuse()) {
-                h.client.refused(settings.limits().retryAfter() ? retryAfter : 0);
+        PendingRequest pending = open.get(r.id);
+        if (pending != null && !pending.over) {
+            pending.over();
+            if (pending.mayRefuse()) {
+                pending.client.refused(settings.limits().retryAfter() ? retryAfter : 0);
             } else {
-                h.client.failed();
+                pending.client.failed();
             }
         }
     }
 
     @Override
     public void fail(Contract.Request r) {
-        Held h = open.get(r.id);
-        if (h != null && !h.over) {
-            h.over();
-            h.client.failed();
+        PendingRequest pending = open.get(r.id);
+        if (pending != null && !pending.over) {
+            pending.over();
+            pending.client.failed();
         }
     }
 
@@ -273,7 +243,7 @@
     }
 
     /** A request taken. It is kept until it is over and all its attempts have ended. */
-    final class Held {
+    final class PendingRequest {
         private final Contract.Request request;
         private final RequestCheck.Checked incoming;
         private final byte[] body;
@@ -283,7 +253,7 @@
         private boolean over;
         private Future<?> deadline;
 
-        private Held(Contract.Request request, RequestCheck.Checked incoming, byte[] body, Client client) {
+        private PendingRequest(Contract.Request request, RequestCheck.Checked incoming, byte[] body, Client client) {
             this.request = request;
             this.incoming = incoming;
             this.body = body;
@@ -366,7 +336,7 @@
 
     /** One attempt, whose outcome is told to the module exactly once. */
     private final class Attempt implements EndpointAttempt.Listener {
-        private final Held held;
+        private final PendingRequest pending;
         private final int index;
         private final double sentAt;
         private double endAt;
@@ -374,8 +344,8 @@
         private Future<?> timer;
         private Contract.Outcome outcome;
 
-        private Attempt(Held held, int index, double sentAt) {
-            this.held = held;
+        private Attempt(PendingRequest pending, int index, double sentAt) {
+            this.pending = pending;
             this.index = index;
             this.sentAt = sentAt;
         }
@@ -398,8 +368,8 @@
         @Override
         public FullHttpRequest request() {
             double now = clock.now();
-            boolean may = !held.over && now < endAt && held.mayRepeat(this, now);
-            return may ? held.httpRequest(endAt - now) : null;
+            boolean may = !pending.over && now < endAt && pending.mayRepeat(this, now);
+            return may ? pending.httpRequest(endAt - now) : null;
         }
 
         @Override
@@ -416,13 +386,13 @@
             // still busy.
             tell(() -> {
                 double now = clock.now();
-                if (how == Contract.Outcome.SERVED && !held.over) {
-                    held.over();
-                    held.client.served(answer);
+                if (how == Contract.Outcome.SERVED && !pending.over) {
+                    pending.over();
+                    pending.client.served(answer);
                 }
-                boolean finished = held.over;
-                held.tidy();
-                module.outcome(now, held.request, index, how, now - sentAt, finished, report);
+                boolean finished = pending.over;
+                pending.tidy();
+                module.outcome(now, pending.request, index, how, now - sentAt, finished, report);
             });
         }
     }
--- a/src/test/java/cobaltrack/sidecar/AttemptTest.java
+++ b/src/test/java/cobaltrack/sidecar/AttemptTest.java
@@ -29,7 +29,8 @@
         try (FakeServer e = new FakeServer(OK); TestNode n = new TestNode(FakeServer.refusing(), e.address());
                 TestClient c = n.client()) {
             TestClient.Answer a = c.ask("POST /api?obj=7f%20x HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: 9b1f\r\n"
-                    + "Request-Class: pay\r\nIdempotency-Key: k7\r\nRequest-Timeout: 5\r\nContent-Length: 3\r\n\r\nabc");
+                    + "Request-Class: pay\r\nIdempotency-Key: k7\r\nRequest-Timeout: 5\r\n"
+                    + "Content-Length: 3\r\n\r\nabc");
             assertEquals(200, a.status());
             assertEquals("done", a.body());
             FakeServer.Request r = e.awaitRequest();
@@ -254,10 +255,10 @@
 
     @Test
     void ofAShortWaitMostIsLeftForTheAttempt() {
-        assertEquals(2, Sidecar.margin(20, 0), 1e-9);
-        assertEquals(25, Sidecar.margin(1000, 0), 1e-9);
-        assertEquals(2 + 6, Sidecar.margin(20, 500), 1e-9);
-        assertEquals(25 + 100, Sidecar.margin(1000, 50), 1e-9);
+        assertEquals(2, LoopLateness.margin(20, 0), 1e-9);
+        assertEquals(25, LoopLateness.margin(1000, 0), 1e-9);
+        assertEquals(2 + 6, LoopLateness.margin(20, 500), 1e-9);
+        assertEquals(25 + 100, LoopLateness.margin(1000, 50), 1e-9);
     }
 
     @Test
@@ -267,7 +268,7 @@
                 TestNode n = new TestNode(FakeServer.refusing(), e.address()); TestClient c = n.client()) {
             // Timers are due at their old times, and run as if the loop had stood still.
             n.advance(400);
-            n.await(() -> n.sidecar.late() > 300);
+            n.await(() -> n.sidecar.lateness().current() > 300);
             c.send(TestClient.submit("2"));
             // Sent late, answered late: 2 s less 0.6 s at most, and 25 ms.
             double told = Double.parseDouble(e.awaitRequest().headers().get("request-timeout"));
@@ -275,7 +276,7 @@
             wires.take().ok("done");
             assertEquals("done", c.read().body());
             n.advance(15_000);
-            n.await(() -> n.sidecar.late() < 1000);
+            n.await(() -> n.sidecar.lateness().current() < 1000);
         }
     }
 
