--- a/src/test/java/cobaltrack/ControllerTest.java
+++ b/src/test/java/cobaltrack/ControllerTest.java
@@ -184,7 +184,8 @@
     void trafficOverATenantsShareIsDroppedFirst() {
         Contract.Settings one = Rig.settings(false, HIGH);
         Contract.Settings s = new Contract.Settings(one.classes(), List.of(new Contract.Tenant("t0", 0.5, 100),
-                new Contract.Tenant("t1", 0.5, 100)), 0.2, one.limits(), one.obligations(), one.reporting(), true, 4, 0);
+                new Contract.Tenant("t1", 0.5, 100)), 0.2, one.limits(), one.obligations(), one.reporting(),
+                true, 4, 0);
         Rig rig = new Rig(s, 3);
         rig.module.start(0);
         rig.module.servers(0, Contract.ListKind.FULL, Rig.fleet(4));
--- a/src/test/java/cobaltrack/EmbeddingExampleTest.java
+++ b/src/test/java/cobaltrack/EmbeddingExampleTest.java
@@ -12,15 +12,50 @@
     static final class Sidecar implements Contract.Actions {
         final List<String> did = new ArrayList<>();
 
-        @Override public void send(Contract.Request r, String server, double within) { did.add("send to " + server); }
-        @Override public void cancel(Contract.Request r, int attempt) { did.add("cancel"); }
-        @Override public void refuse(Contract.Request r, double retryAfter) { did.add("refuse"); }
-        @Override public void fail(Contract.Request r) { did.add("fail"); }
-        @Override public void probe(String server) { did.add("probe " + server); }
-        @Override public void watchServers() { did.add("watch"); }
-        @Override public void tellPeers(byte[] text) { did.add("tell"); }
-        @Override public void wake(double at) { did.add("wake"); }
-        @Override public void log(String line) { did.add(line); }
+        @Override
+        public void send(Contract.Request r, String server, double within) {
+            did.add("send to " + server);
+        }
+
+        @Override
+        public void cancel(Contract.Request r, int attempt) {
+            did.add("cancel");
+        }
+
+        @Override
+        public void refuse(Contract.Request r, double retryAfter) {
+            did.add("refuse");
+        }
+
+        @Override
+        public void fail(Contract.Request r) {
+            did.add("fail");
+        }
+
+        @Override
+        public void probe(String server) {
+            did.add("probe " + server);
+        }
+
+        @Override
+        public void watchServers() {
+            did.add("watch");
+        }
+
+        @Override
+        public void tellPeers(byte[] text) {
+            did.add("tell");
+        }
+
+        @Override
+        public void wake(double at) {
+            did.add("wake");
+        }
+
+        @Override
+        public void log(String line) {
+            did.add(line);
+        }
     }
 
     @Test
--- a/src/test/java/cobaltrack/LargeFleetTest.java
+++ b/src/test/java/cobaltrack/LargeFleetTest.java
@@ -115,7 +115,8 @@
             if (first >= 0) {
                 rig.end(now + 10, r, Contract.Outcome.RESET, 10);
                 if (rig.sends(r) == 2) {
-                    assertEquals(first ^ 1, Integer.parseInt(rig.lastServer(r).substring(1)), "its cell's other server");
+                    assertEquals(first ^ 1, Integer.parseInt(rig.lastServer(r).substring(1)),
+                            "its cell's other server");
                     again++;
                     rig.end(now + 20, r, Contract.Outcome.SERVED, 10);
                 }
--- a/src/test/java/cobaltrack/RandomEventsTest.java
+++ b/src/test/java/cobaltrack/RandomEventsTest.java
@@ -28,9 +28,12 @@
 
     private static Contract.Settings settings(String prefix, boolean copies) {
         Contract.RequestClass[] k = {
-            new Contract.RequestClass(prefix + "a", 5, 0.3, 400, 1500, Contract.Effect.SAFE, Contract.Group.ALL, 0, false),
-            new Contract.RequestClass(prefix + "b", 3, 0, 300, 1000, Contract.Effect.KEYED, Contract.Group.ZONE, 700, false),
-            new Contract.RequestClass(prefix + "c", 1, 0, 300, 1000, Contract.Effect.UNSAFE, Contract.Group.ALL, 0, false)};
+            new Contract.RequestClass(prefix + "a", 5, 0.3, 400, 1500, Contract.Effect.SAFE, Contract.Group.ALL, 0,
+                    false),
+            new Contract.RequestClass(prefix + "b", 3, 0, 300, 1000, Contract.Effect.KEYED, Contract.Group.ZONE,
+                    700, false),
+            new Contract.RequestClass(prefix + "c", 1, 0, 300, 1000, Contract.Effect.UNSAFE, Contract.Group.ALL,
+                    0, false)};
         Contract.Settings s = Rig.settings(copies, k);
         return new Contract.Settings(s.classes(), List.of(new Contract.Tenant(prefix + "t", 0.6, 50),
                 new Contract.Tenant(prefix + "u", 0.4, 30)), 0.2,
@@ -58,7 +61,8 @@
             rig.now = now;
             int what = dice.nextInt(100);
             if (what < 45) {
-                Contract.Request r = new Contract.Request(step, dice.nextInt(3), dice.nextInt(2), 200 + dice.nextInt(900), false);
+                Contract.Request r = new Contract.Request(step, dice.nextInt(3), dice.nextInt(2),
+                        200 + dice.nextInt(900), false);
                 rig.requests.put(r.id, r);
                 rig.module.request(now, r);
             } else if (what < 85 && !out.isEmpty()) {
@@ -90,7 +94,8 @@
                 rig.module.servers(now, Contract.ListKind.FAILED, List.of());
             } else if (what < 96) {
                 rig.module.probed(now, "s" + dice.nextInt(14), Contract.Outcome.SERVED, 1,
-                        new Contract.Report(dice.nextInt(6), dice.nextInt(5), Double.NaN, Double.NaN, Double.NaN, Double.NaN));
+                        new Contract.Report(dice.nextInt(6), dice.nextInt(5), Double.NaN, Double.NaN, Double.NaN,
+                                Double.NaN));
             } else if (what < 98) {
                 rig.module.message(now, 2, new byte[dice.nextInt(9)]);
             } else if (!out.isEmpty()) {
--- a/src/test/java/cobaltrack/benchlink/LinkTest.java
+++ b/src/test/java/cobaltrack/benchlink/LinkTest.java
@@ -80,7 +80,8 @@
     @ParameterizedTest
     @CsvSource({"classes.0.slo=500.0,classes.0.slo=2500.0,classes.0.slo", "discovery=push,discovery=pull,discovery",
         "peers_total=3,peers_total=0,peers_total", "ordinal=0,ordinal=3,ordinal",
-        "limits.cancel=true,limits.other=true,limits.cancel", "obligations.cold=9000.0,obligations.cold=x,obligations.cold",
+        "limits.cancel=true,limits.other=true,limits.cancel",
+        "obligations.cold=9000.0,obligations.cold=x,obligations.cold",
         "classes.count=1,classes.count=2,classes.1.effect"})
     void badSettingsNameTheKey(String good, String bad, String key) {
         WireException e = assertThrows(WireException.class, () -> play(UP.replace(good, bad)));
--- a/src/test/java/cobaltrack/sidecar/CrossingTest.java
+++ b/src/test/java/cobaltrack/sidecar/CrossingTest.java
@@ -49,7 +49,8 @@
                     if (!before) {
                         // All of it is there, so all of it was written.
                         byte[] all = new byte[4096];
-                        for (int got = 1; !new String(all, 0, got, StandardCharsets.UTF_8).contains("x".repeat(size));) {
+                        String body = "x".repeat(size);
+                        for (int got = 1; !new String(all, 0, got, StandardCharsets.UTF_8).contains(body);) {
                             got += s.getInputStream().read(all, got, all.length - got);
                         }
                     }
@@ -118,7 +119,8 @@
     @Test
     void aDrainToldWhileAnAnswerIsOutLeavesThatAnswerAndNothingNew() throws Exception {
         BlockingQueue<FakeServer.Wire> wires = new LinkedBlockingQueue<>();
-        try (FakeServer e = new FakeServer((r, w) -> wires.add(w)); FakeServer f = new FakeServer((r, w) -> w.ok("new"));
+        try (FakeServer e = new FakeServer((r, w) -> wires.add(w));
+                FakeServer f = new FakeServer((r, w) -> w.ok("new"));
                 TestNode n = new TestNode(config("true", e.address()), NioSocketChannel.class);
                 TestClient c = n.client()) {
             c.send(TestClient.submit("50"));
--- a/src/test/java/cobaltrack/sidecar/ThreadProcessorTimeTest.java
+++ b/src/test/java/cobaltrack/sidecar/ThreadProcessorTimeTest.java
@@ -10,7 +10,8 @@
 class ThreadProcessorTimeTest {
     @Test
     void userAndSystemTimeAreAddedUp() {
-        assertEquals(1_230_000_000L, ThreadProcessorTime.parse("71 (a (b) c) R 1 71 71 0 -1 4194304 95 0 0 0 120 3 0 0 20"));
+        String line = "71 (a (b) c) R 1 71 71 0 -1 4194304 95 0 0 0 120 3 0 0 20";
+        assertEquals(1_230_000_000L, ThreadProcessorTime.parse(line));
     }
 
     @Test
