Accept all connections that wait before a drain closes the listener

Cause: Netty accepts 16 connections a turn, and the drain closes the listener one select after its step is due. With a late turn more may wait in the backlog by then: the machine has accepted them and their requests are whole, and the close resets them. Change: as many are accepted in a turn as the application may have connections. allConnectionsThatWaitToBeAcceptedInALateTurnAreServedBeforeTheListenerCloses ends in 'Connection reset' without it.

--- a/src/main/java/cobaltrack/sidecar/ClientServer.java
+++ b/src/main/java/cobaltrack/sidecar/ClientServer.java
@@ -11,6 +11,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.net.SocketAddress;
 import java.util.LinkedHashSet;
@@ -89,6 +90,9 @@
                 // than the request before it, which would be sent on for a client that has gone.
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator()
                         .respectMaybeMoreData(false).maxMessagesPerRead(READS_MOST))
+                // Accepts up to where none waits: a connection that waits when the listener closes is reset.
+                .option(ChannelOption.RECVBUF_ALLOCATOR,
+                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(Math.max(READS_MOST, most)))
                 .bind(address);
     }
 
--- a/src/test/java/cobaltrack/sidecar/DrainTest.java
+++ b/src/test/java/cobaltrack/sidecar/DrainTest.java
@@ -1,11 +1,14 @@
 package cobaltrack.sidecar;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -15,10 +18,12 @@
     /** With deadlines this short the steps come soon after the signal: idle connections close 500 ms after it. */
     private static final long CLOSING_MS = 500;
 
+    private static final long DEADLINE_MS = 1000;
+
     private static TestNode node(String... endpoints) throws Exception {
         return new TestNode(TestNode.config("127.0.0.1:0", FakeServer.refusing(), 1024, endpoints)
                 .replace("\"slo\":1200", "\"slo\":900").replace("\"slo\":30000", "\"slo\":900")
-                .replace("\"deadline\":60000", "\"deadline\":1000"), NioSocketChannel.class);
+                .replace("\"deadline\":60000", "\"deadline\":" + DEADLINE_MS), NioSocketChannel.class);
     }
 
     private static void awaitDrained(CountDownLatch drained) throws InterruptedException {
@@ -43,6 +48,42 @@
         }
     }
 
+    @Test
+    void allConnectionsThatWaitToBeAcceptedInALateTurnAreServedBeforeTheListenerCloses() throws Exception {
+        int waiting = 40;
+        long stopAccepting = (long) DrainSchedule.of(DEADLINE_MS).stopAcceptingAt();
+        CountDownLatch drained = new CountDownLatch(1);
+        CountDownLatch late = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        List<TestClient> clients = new ArrayList<>();
+        try (FakeServer e = new FakeServer((r, w) -> w.ok("done")); TestNode n = node(e.address())) {
+            EventLoop loop = n.group.next();
+            loop.execute(() -> {
+                n.server.drain(drained::countDown);
+                loop.schedule(() -> {
+                    late.countDown();
+                    go.await();
+                    return null;
+                }, stopAccepting - 1, TimeUnit.MILLISECONDS);
+            });
+            assertTrue(late.await(FakeServer.PATIENCE_S, TimeUnit.SECONDS));
+            for (int i = 0; i < waiting; i++) {
+                TestClient c = n.client();
+                clients.add(c);
+                c.send(TestClient.status("5"));
+            }
+            go.countDown();
+            for (TestClient c : clients) {
+                assertNotNull(c.read(), "closed without an answer");
+            }
+            awaitDrained(drained);
+        } finally {
+            for (TestClient c : clients) {
+                c.close();
+            }
+        }
+    }
+
     @Test
     void aRequestThatCameInALateTurnIsAnsweredBeforeIdleConnectionsClose() throws Exception {
         CountDownLatch drained = new CountDownLatch(1);
