--- a/src/test/java/cobaltrack/sidecar/DrainTest.java
+++ b/src/test/java/cobaltrack/sidecar/DrainTest.java
@@ -26,6 +26,28 @@
                 .replace("\"deadline\":60000", "\"deadline\":" + DEADLINE_MS), NioSocketChannel.class);
     }
 
+    /** A turn of the loop that stands still from when it is reached until it may go on. */
+    private record LateTurn(CountDownLatch reached, CountDownLatch go) {
+        void await() throws InterruptedException {
+            assertTrue(reached.await(FakeServer.PATIENCE_S, TimeUnit.SECONDS));
+        }
+    }
+
+    /** Begins a drain whose loop stands still so many milliseconds after that. */
+    private static LateTurn drainWithLateTurn(TestNode n, CountDownLatch drained, long after) {
+        LateTurn late = new LateTurn(new CountDownLatch(1), new CountDownLatch(1));
+        EventLoop loop = n.group.next();
+        loop.execute(() -> {
+            n.server.drain(drained::countDown);
+            loop.schedule(() -> {
+                late.reached.countDown();
+                late.go.await();
+                return null;
+            }, after, TimeUnit.MILLISECONDS);
+        });
+        return late;
+    }
+
     private static void awaitDrained(CountDownLatch drained) throws InterruptedException {
         assertTrue(drained.await(FakeServer.PATIENCE_S, TimeUnit.SECONDS));
     }
@@ -53,26 +75,16 @@
         int waiting = 40;
         long stopAccepting = (long) DrainSchedule.of(DEADLINE_MS).stopAcceptingAt();
         CountDownLatch drained = new CountDownLatch(1);
-        CountDownLatch late = new CountDownLatch(1);
-        CountDownLatch go = new CountDownLatch(1);
         List<TestClient> clients = new ArrayList<>();
         try (FakeServer e = new FakeServer((r, w) -> w.ok("done")); TestNode n = node(e.address())) {
-            EventLoop loop = n.group.next();
-            loop.execute(() -> {
-                n.server.drain(drained::countDown);
-                loop.schedule(() -> {
-                    late.countDown();
-                    go.await();
-                    return null;
-                }, stopAccepting - 1, TimeUnit.MILLISECONDS);
-            });
-            assertTrue(late.await(FakeServer.PATIENCE_S, TimeUnit.SECONDS));
+            LateTurn late = drainWithLateTurn(n, drained, stopAccepting - 1);
+            late.await();
             for (int i = 0; i < waiting; i++) {
                 TestClient c = n.client();
                 clients.add(c);
                 c.send(TestClient.status("5"));
             }
-            go.countDown();
+            late.go.countDown();
             for (TestClient c : clients) {
                 assertNotNull(c.read(), "closed without an answer");
             }
@@ -87,28 +99,18 @@
     @Test
     void aRequestThatCameInALateTurnIsAnsweredBeforeIdleConnectionsClose() throws Exception {
         CountDownLatch drained = new CountDownLatch(1);
-        CountDownLatch late = new CountDownLatch(1);
-        CountDownLatch go = new CountDownLatch(1);
         try (FakeServer e = new FakeServer((r, w) -> w.ok("done")); TestNode n = node(e.address());
                 TestClient c = n.client()) {
             assertEquals("done", c.ask(TestClient.status("5")).body());
-            EventLoop loop = n.group.next();
-            loop.execute(() -> {
-                n.server.drain(drained::countDown);
-                loop.schedule(() -> {
-                    late.countDown();
-                    go.await();
-                    return null;
-                }, CLOSING_MS - 1, TimeUnit.MILLISECONDS);
-            });
+            LateTurn late = drainWithLateTurn(n, drained, CLOSING_MS - 1);
             // The loop stands still until both are due, so that it runs one right behind the other.
             n.call(() -> {
                 Thread.sleep(2 * CLOSING_MS);
                 return null;
             });
-            assertTrue(late.await(FakeServer.PATIENCE_S, TimeUnit.SECONDS));
+            late.await();
             c.send(TestClient.status("5"));
-            go.countDown();
+            late.go.countDown();
             assertEquals("done", c.read().body());
             assertNull(c.read());
             awaitDrained(drained);
