--- a/src/main/java/cobaltrack/sidecar/BusyLoopDetector.java
+++ b/src/main/java/cobaltrack/sidecar/BusyLoopDetector.java
@@ -23,9 +23,9 @@
     private final Clock clock;
     private final LongSupplier processorNanos;
     private final Consumer<String> log;
-    private boolean started;
     private double checkedAt;
-    private long processorNanosThen;
+    /** Unknown until the first run, which so has nothing to compare with. */
+    private long processorNanosThen = ThreadProcessorTime.UNKNOWN;
     private long turnsThen;
     private long socketEventsThen;
     private double loggedAt = Double.NEGATIVE_INFINITY;
@@ -53,10 +53,7 @@
     public void run() {
         double now = clock.now();
         long processorNanosNow = processorNanos.getAsLong();
-        if (started) {
-            check(now, processorNanosNow);
-        }
-        started = true;
+        check(now, processorNanosNow);
         remember(now, processorNanosNow);
     }
 
--- a/src/main/java/cobaltrack/sidecar/Endpoint.java
+++ b/src/main/java/cobaltrack/sidecar/Endpoint.java
@@ -65,9 +65,14 @@
         idle.remove(connection);
     }
 
-    /** The connection that has been idle for the longest, or null. */
-    EndpointConnection oldestIdle() {
-        return idle.peekFirst();
+    /** Since when its longest idle connection has been idle, or positive infinity if it has none. */
+    double oldestIdleSince() {
+        return idle.isEmpty() ? Double.POSITIVE_INFINITY : idle.peekFirst().idleSince();
+    }
+
+    /** Takes out the connection that has been idle for the longest, or null. */
+    EndpointConnection takeOldestIdle() {
+        return idle.pollFirst();
     }
 
     /**
--- a/src/main/java/cobaltrack/sidecar/EndpointConnection.java
+++ b/src/main/java/cobaltrack/sidecar/EndpointConnection.java
@@ -167,11 +167,6 @@
         }
     }
 
-    /** Takes it out of its endpoint's idle ones. */
-    void forgetIdle() {
-        endpoint.removeIdle(this);
-    }
-
     // A break before the last byte was written proves that nothing ran, a later one proves nothing.
     private void broken() {
         if (attempt == null) {
--- a/src/main/java/cobaltrack/sidecar/EndpointPool.java
+++ b/src/main/java/cobaltrack/sidecar/EndpointPool.java
@@ -169,22 +169,19 @@
     }
 
     private boolean closeOldestIdle() {
-        EndpointConnection oldest = null;
+        Endpoint oldest = null;
+        double since = Double.POSITIVE_INFINITY;
         for (Endpoint endpoint : endpoints.values()) {
-            EndpointConnection candidate = endpoint.oldestIdle();
-            if (candidate != null && (oldest == null || candidate.idleSince() < oldest.idleSince())) {
-                oldest = candidate;
+            if (endpoint.oldestIdleSince() < since) {
+                oldest = endpoint;
+                since = endpoint.oldestIdleSince();
             }
         }
-        if (oldest != null) {
-            oldest.forgetIdle();
-        } else {
-            oldest = resting.pollFirst();
-        }
-        if (oldest == null) {
+        EndpointConnection victim = oldest == null ? resting.pollFirst() : oldest.takeOldestIdle();
+        if (victim == null) {
             return false;
         }
-        oldest.close();
+        victim.close();
         return true;
     }
 }
