Serve responses that end with their connection, once their stream ended in order

Cause: EndpointConnection.sound took every response with neither a length nor chunks for a broken one, as soon as its head had come and whatever followed. It did so because the decoder makes a last content of what it has after any kind of close, and the connection had nothing that tells an end of stream from a reset: channelInactive comes after both.

Change: connections to endpoints allow half closure, so that Netty tells the end of a stream by an event of its own, before the decoder sees it, and a failed read closes the channel before that event. ResponseAssembler, the part of EndpointConnection that put a response together, takes one without a length for whole only where the stream ended so and the request was written whole.

--- a/src/main/java/cobaltrack/sidecar/ClientConnection.java
+++ b/src/main/java/cobaltrack/sidecar/ClientConnection.java
@@ -202,7 +202,7 @@
         }
         if (message instanceof HttpContent part) {
             ByteBuf bytes = part.content();
-            if (body.size() + bytes.readableBytes() > EndpointConnection.MAX_BODY_BYTES) {
+            if (body.size() + bytes.readableBytes() > ResponseAssembler.MAX_BODY_BYTES) {
                 reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
                 return;
             }
--- a/src/main/java/cobaltrack/sidecar/EndpointConnection.java
+++ b/src/main/java/cobaltrack/sidecar/EndpointConnection.java
@@ -8,21 +8,16 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -30,12 +25,7 @@
  * judges what came: an answer that is spoilt, stalls or is followed by more ends the connection.
  */
 final class EndpointConnection extends SimpleChannelInboundHandler<HttpObject> {
-    /** The longest body that is passed on, in either direction. */
-    static final int MAX_BODY_BYTES = 64 * 1024;
-
     private static final String NOT_STARTED = "Not-Started";
-    /** Interim answers ahead of the real one; more are not meant to end. */
-    private static final int MAX_INTERIM_ANSWERS = 8;
     /** An answer that has begun and brings nothing for so long will not end. */
     private static final double STALL_MS = 500;
 
@@ -44,15 +34,15 @@
     private final Clock clock;
     private final Endpoint endpoint;
     private final EndpointResponseDecoder decoder = new EndpointResponseDecoder();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final ResponseAssembler response = new ResponseAssembler();
     private Channel channel;
     private EndpointAttempt attempt;
     private boolean used;
     private boolean written;
-    private HttpResponse head;
-    private int interimAnswers;
     private boolean whole;
     private boolean surplus;
+    /** A read returned end of stream, and no call on the socket had failed before. */
+    private boolean streamEnded;
     private double readAt;
     private Future<?> stall;
     private double idleSince;
@@ -102,10 +92,20 @@
     }
 
     /**
-     * Guards against an answer to nobody: a second copy, or noise, must not wait here for the next
-     * request.
+     * Stands before the decoder. Guards against an answer to nobody: a second copy, or noise, must not wait here for
+     * the next request. And notes the end of the stream before the decoder makes the end of a response of it.
      */
     private final class Bytes extends ChannelInboundHandlerAdapter {
+        // Only a read that returned end of stream or failed brings this event. A failure is told first, and closes
+        // the channel, as does a write that fails; a close of our own brings no such event.
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event instanceof ChannelInputShutdownEvent) {
+                streamEnded = channel.isActive();
+            }
+            ctx.fireUserEventTriggered(event);
+        }
+
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
             if (attempt == null || attempt.over()) {
@@ -141,13 +141,11 @@
         used = true;
         next.startedOn(this);
         written = false;
-        head = null;
-        interimAnswers = 0;
         whole = false;
         surplus = false;
         readAt = 0;
         idleFor = idleSince > 0 ? clock.now() - idleSince : 0;
-        body.reset();
+        response.reset();
         channel.writeAndFlush(request).addListener(f -> {
             if (f.isSuccess()) {
                 written = true;
@@ -187,50 +185,24 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) throws IOException {
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
         // Behind a whole answer anything may follow in the same pass; the end of the pass settles it.
         if (attempt == null || whole) {
             surplus = true;
             return;
         }
-        if (message.decoderResult().isFailure() || message instanceof HttpResponse r && !sound(r)) {
+        // A server that ends the stream before it has had the whole request answers something else.
+        ResponseAssembler.State state = response.add(message, streamEnded && written);
+        if (state == ResponseAssembler.State.UNUSABLE) {
             spoilt();
             return;
         }
-        if (message instanceof HttpContent part) {
-            ByteBuf bytes = part.content();
-            if (body.size() + bytes.readableBytes() > MAX_BODY_BYTES) {
-                spoilt();
-                return;
-            }
-            bytes.readBytes(body, bytes.readableBytes());
-            if (part instanceof LastHttpContent) {
-                whole = !isInterim(head);
-                head = whole ? head : null;
-                decoder.answerEnded();
-            }
+        whole = state == ResponseAssembler.State.COMPLETE;
+        if (message instanceof LastHttpContent) {
+            decoder.answerEnded();
         }
     }
 
-    private static boolean isInterim(HttpResponse response) {
-        return response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    }
-
-    // Guards against what can't be told from an answer cut short by a dying endpoint, against reading
-    // on what can't be passed on anyway, and against interim answers without end.
-    private boolean sound(HttpResponse response) {
-        head = response;
-        if (isInterim(response)) {
-            interimAnswers++;
-            return interimAnswers <= MAX_INTERIM_ANSWERS;
-        }
-        String encoding = response.headers().get(HttpHeaderNames.TRANSFER_ENCODING);
-        if (encoding != null) {
-            return HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encoding);
-        }
-        return HttpUtil.isContentLengthSet(response) && HttpUtil.getContentLength(response) <= MAX_BODY_BYTES;
-    }
-
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         if (attempt == null || attempt.over()) {
@@ -261,36 +233,43 @@
 
     private void finish() {
         EndpointAttempt done = attempt;
-        HttpResponse response = head;
         attempt = null;
-        head = null;
         if (stall != null) {
             stall.cancel(false);
             stall = null;
         }
-        if (written && HttpUtil.isKeepAlive(response) && !surplus && !decoder.holdsMore()) {
+        if (written && response.allowsReuse() && !surplus && !decoder.holdsMore()) {
             pool.rest(this);
         } else {
             channel.close();
         }
-        Contract.Outcome outcome = outcome(response);
-        HttpHeaders headers = response.headers();
+        HttpResponse head = response.head();
+        Contract.Outcome outcome = outcome(head);
+        HttpHeaders headers = head.headers();
         EndpointAttempt.Answer answer = outcome == Contract.Outcome.SERVED
-                ? new EndpointAttempt.Answer(body.toByteArray(), headers.get(HttpHeaderNames.CONTENT_TYPE)) : null;
+                ? new EndpointAttempt.Answer(response.body(), headers.get(HttpHeaderNames.CONTENT_TYPE)) : null;
         done.end(outcome, answer, LoadReport.parse(headers.getAll(LoadReport.HEADER)));
     }
 
-    private static Contract.Outcome outcome(HttpResponse response) {
-        HttpResponseStatus status = response.status();
+    private static Contract.Outcome outcome(HttpResponse head) {
+        HttpResponseStatus status = head.status();
         if (status.equals(HttpResponseStatus.OK)) {
             return Contract.Outcome.SERVED;
         }
         boolean turnedAway = (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
                 || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT))
-                && "1".equals(response.headers().get(NOT_STARTED));
+                && "1".equals(head.headers().get(NOT_STARTED));
         return turnedAway ? Contract.Outcome.FULL : Contract.Outcome.ERROR;
     }
 
+    // The decoder has made of the end what it could: nothing more will come, whether or not an answer was whole.
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            ctx.close();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         endpoint.removeIdle(this);
--- a/src/main/java/cobaltrack/sidecar/EndpointPool.java
+++ b/src/main/java/cobaltrack/sidecar/EndpointPool.java
@@ -52,7 +52,9 @@
         this.idleLimit = endpointIdle * IDLE_SHARE;
         this.maxOpen = maxOpen;
         this.bootstrap = new Bootstrap().group(loop).channel(channels)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout);
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout)
+                // Has the end of a stream told by an event of its own; else it can't be told from other closes.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true);
         loop.scheduleAtFixedRate(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
--- a/src/main/java/cobaltrack/sidecar/RequestCheck.java
+++ b/src/main/java/cobaltrack/sidecar/RequestCheck.java
@@ -92,7 +92,7 @@
         require(encoding == null || HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encoding)
                 && request.protocolVersion().minorVersion() > 0);
         require(request.protocolVersion().majorVersion() == 1 && visible(request.uri(), Integer.MAX_VALUE));
-        if (HttpUtil.getContentLength(request, 0L) > EndpointConnection.MAX_BODY_BYTES) {
+        if (HttpUtil.getContentLength(request, 0L) > ResponseAssembler.MAX_BODY_BYTES) {
             throw new Rejected(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
         }
     }
--- a/src/main/java/cobaltrack/sidecar/Warmup.java
+++ b/src/main/java/cobaltrack/sidecar/Warmup.java
@@ -101,7 +101,7 @@
             @Override
             protected void initChannel(Channel channel) {
                 channel.pipeline().addLast(serves ? new HttpServerCodec() : new HttpClientCodec(),
-                        new HttpObjectAggregator(EndpointConnection.MAX_BODY_BYTES),
+                        new HttpObjectAggregator(ResponseAssembler.MAX_BODY_BYTES),
                         serves ? new Endpoint() : new Application());
             }
         };
