Convert starts of servers by each offset that the wall clock has had

Cause: Clock takes the wall clock once, at start, and EndpointList hands born_ms, which is Unix time, to the module as it is. After a step back of the wall clock by an hour a server that has just started is told with a number that lies an hour back on the module's clock: Decide.warmth takes it for warm, and its slow start gets no budget at all. A restart whose number went back was even taken for an older list.

Change: StartTimes remembers each offset of the wall clock against the monotonic one, looks for a new one each second and with each list, and takes the latest moment not in the future that a start can stand for; one log line a step. What the module is told stays the same for as long as the entry stays the same.

--- a/src/main/java/cobaltrack/Contract.java
+++ b/src/main/java/cobaltrack/Contract.java
@@ -80,7 +80,12 @@
                     int ordinal) { }
 
     /** An entry of the server list. {@code startedAt} of 0 or less than the clock's start means long ago. */
-    record Server(String id, Standing standing, double size, String zone, int cell, double startedAt) { }
+    record Server(String id, Standing standing, double size, String zone, int cell, double startedAt) {
+        /** The same server with this start. */
+        public Server withStart(double start) {
+            return start == startedAt ? this : new Server(id, standing, size, zone, cell, start);
+        }
+    }
 
     /** A load report; a value that it lacks is NaN. */
     record Report(double inflight, double queue, double util, double latency, double perSecond, double errors) { }
--- a/src/main/java/cobaltrack/sidecar/Clock.java
+++ b/src/main/java/cobaltrack/sidecar/Clock.java
@@ -3,15 +3,15 @@
 import java.util.function.LongSupplier;
 
 /**
- * The module's clock: milliseconds that begin at Unix time and from then on follow the monotonic clock.
- * Starts of endpoints, told in Unix time, so need no conversion, and a clock that is set cannot run the
- * module backwards.
+ * The module's clock: milliseconds that begin at Unix time and from then on follow the monotonic clock, so that no
+ * step of the wall clock moves a deadline, a window or a wait. The only class that reads the wall clock.
  */
 final class Clock {
     private static final double NANOS_IN_MILLI = 1e6;
 
-    private final double unixAtStart = System.currentTimeMillis();
     private final LongSupplier nanos;
+    private final LongSupplier wallMillis;
+    private final double unixAtStart;
     private final long nanosAtStart;
 
     Clock() {
@@ -20,11 +20,23 @@
 
     /** A clock that follows this one, in nanoseconds, which never runs backwards. */
     Clock(LongSupplier nanos) {
+        this(nanos, System::currentTimeMillis);
+    }
+
+    /** A clock that follows the first one, in nanoseconds, beside a wall clock in milliseconds of Unix time. */
+    Clock(LongSupplier nanos, LongSupplier wallMillis) {
         this.nanos = nanos;
+        this.wallMillis = wallMillis;
+        this.unixAtStart = wallMillis.getAsLong();
         this.nanosAtStart = nanos.getAsLong();
     }
 
     double now() {
         return unixAtStart + (nanos.getAsLong() - nanosAtStart) / NANOS_IN_MILLI;
     }
+
+    /** How far the wall clock is ahead of this one now, in milliseconds: by as much as it was stepped, and its drift. */
+    double wallClockOffset() {
+        return wallMillis.getAsLong() - now();
+    }
 }
--- a/src/main/java/cobaltrack/sidecar/Sidecar.java
+++ b/src/main/java/cobaltrack/sidecar/Sidecar.java
@@ -38,6 +38,8 @@
 
     /** Of the margin, how long after its deadline a request is failed that the module has not ended by then. */
     private static final double MODULE_GRACE = 0.2;
+    /** How often the wall clock is looked at; a server started between two opposite steps this close is misjudged. */
+    private static final long OBSERVE_MS = 1000;
     private static final double MILLIS = 1000;
     private static final double NANOS_IN_MILLI = 1e6;
 
@@ -48,6 +50,7 @@
     private final Consumer<String> log;
     private final Contract.Events module;
     private final LoopLateness lateness;
+    private final StartTimes startTimes;
     private final Map<Long, PendingRequest> open = new HashMap<>();
     private final Set<String> ids = new HashSet<>();
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
@@ -65,7 +68,9 @@
         this.pool = pool;
         this.log = log;
         this.lateness = new LoopLateness(clock);
+        this.startTimes = new StartTimes(clock, log);
         this.module = new Decide(settings, seed, this);
+        loop.scheduleAtFixedRate(startTimes::observeWallClock, OBSERVE_MS, OBSERVE_MS, TimeUnit.MILLISECONDS);
     }
 
     /** Starts the module, with the list as last known if there is one, and with what begins a watch on it. */
@@ -89,7 +94,8 @@
     @Override
     public void list(Contract.ListKind kind, EndpointList list) {
         pool.update(list);
-        tell(() -> module.servers(clock.now(), kind, list.servers()));
+        List<Contract.Server> servers = startTimes.convert(list);
+        tell(() -> module.servers(clock.now(), kind, servers));
         if (kind != Contract.ListKind.STALE) {
             whenListed.run();
             whenListed = () -> { };
--- a/src/test/java/cobaltrack/sidecar/TestNode.java
+++ b/src/test/java/cobaltrack/sidecar/TestNode.java
@@ -19,7 +19,9 @@
     final Sidecar sidecar;
     final Discovery watch;
     final int port;
+    final Channel listener;
     private final AtomicLong ahead = new AtomicLong();
+    private final AtomicLong wallStep = new AtomicLong();
 
     /** A sidecar with plenty of sockets that knows these endpoints, named s0, s1 and so on. */
     TestNode(String discovery, String... endpoints) throws Exception {
@@ -37,11 +39,13 @@
         ObjectMapper mapper = new ObjectMapper();
         Config config = Config.parse(json, mapper);
         var loop = group.next();
-        Main.Parts parts = Main.wire(config, mapper, loop, new Clock(() -> System.nanoTime() + ahead.get()), channels);
+        Clock clock = new Clock(() -> System.nanoTime() + ahead.get(), this::wallClock);
+        Main.Parts parts = Main.wire(config, mapper, loop, clock, channels);
         server = parts.server();
         sidecar = parts.sidecar();
         watch = parts.discovery();
-        port = ((InetSocketAddress) server.listen(config.listen()).sync().channel().localAddress()).getPort();
+        listener = server.listen(config.listen()).sync().channel();
+        port = ((InetSocketAddress) listener.localAddress()).getPort();
         loop.submit(parts.start()).get();
     }
 
@@ -82,6 +86,16 @@
         ahead.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
     }
 
+    /** Steps the wall clock by so many milliseconds, forward or back; the monotonic one runs on. */
+    void stepWallClock(long millis) {
+        wallStep.addAndGet(millis);
+    }
+
+    /** The wall clock's Unix time in milliseconds. */
+    long wallClock() {
+        return System.currentTimeMillis() + TimeUnit.NANOSECONDS.toMillis(ahead.get()) + wallStep.get();
+    }
+
     /** Waits until all that the loop was given before has been done. */
     void turn() throws Exception {
         call(() -> null);
