Answer a request that came whole as room was made, and finish an answer before a close

- ClientServer.makeRoom may close the slowest client that is still sending.
A request whose last byte had been read in the same turn still counted as such, until ClientConnection.requested ran at the turn's end.
It is a phase of its own now, RECEIVED, which nothing closes.
The answer goes out whole now, and the connection ends behind it.

--- a/src/main/java/cobaltrack/sidecar/ClientConnection.java
+++ b/src/main/java/cobaltrack/sidecar/ClientConnection.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
@@ -42,6 +41,8 @@
         IDLE,
         /** A request has begun to come. */
         RECEIVING,
+        /** A request has come whole; whether anything follows it is not known before the end of the turn. */
+        RECEIVED,
         /** The sidecar holds its request. */
         OPEN,
         /** An answer is being written. */
@@ -65,7 +66,6 @@
     private boolean first = true;
     private HttpRequest head;
     private RequestCheck.Checked checked;
-    private boolean complete;
     private Sidecar.PendingRequest pending;
 
     ClientConnection(ClientServer server, Clock clock) {
@@ -101,7 +101,7 @@
             if (phase == Phase.SILENT || phase == Phase.IDLE) {
                 enter(Phase.RECEIVING);
             }
-            if (phase == Phase.RECEIVING) {
+            if (phase == Phase.RECEIVING || phase == Phase.RECEIVED) {
                 ctx.fireChannelRead(message);
                 return;
             }
@@ -110,7 +110,8 @@
             if (phase == Phase.OPEN) {
                 reject(HttpResponseStatus.BAD_REQUEST);
             } else if (phase == Phase.ANSWERING) {
-                channel.close();
+                // The answer still goes out whole; behind it the connection ends.
+                stopReading();
             }
         }
     }
@@ -185,10 +186,10 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) throws IOException {
-        if (phase != Phase.RECEIVING) {
+        if (phase != Phase.RECEIVING && phase != Phase.RECEIVED) {
             return;
         }
-        if (complete || message.decoderResult().isFailure()) {
+        if (phase == Phase.RECEIVED || message.decoderResult().isFailure()) {
             reject(HttpResponseStatus.BAD_REQUEST);
             return;
         }
@@ -207,7 +208,9 @@
                 return;
             }
             bytes.readBytes(body, bytes.readableBytes());
-            complete = part instanceof LastHttpContent;
+            if (part instanceof LastHttpContent) {
+                enter(Phase.RECEIVED);
+            }
         }
     }
 
@@ -221,13 +224,13 @@
     // The end of the connection is found behind this: of a client that has gone by now nothing is sent on.
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (phase == Phase.RECEIVING && complete) {
+        if (phase == Phase.RECEIVED) {
             ctx.executor().execute(this::requested);
         }
     }
 
     private void requested() {
-        if (phase != Phase.RECEIVING || !complete || !channel.isActive()) {
+        if (phase != Phase.RECEIVED || !channel.isActive()) {
             return;
         }
         if (decoder.holdsMore()) {
@@ -299,6 +302,7 @@
     }
 
     private void reject(HttpResponseStatus status) {
+        // Before it is given up: what that ends must find no answer due here.
         enter(Phase.ENDING);
         giveUp();
         end(response(status));
@@ -318,7 +322,6 @@
     private void write(FullHttpResponse response) {
         pending = null;
         if (!HttpUtil.isKeepAlive(head) || server.draining()) {
-            enter(Phase.ENDING);
             end(response);
             return;
         }
@@ -328,30 +331,36 @@
                 first = false;
                 head = null;
                 checked = null;
-                complete = false;
                 decoder.heads = 0;
                 enter(Phase.IDLE);
                 if (server.draining()) {
                     close();
                 }
+            } else {
+                endOutput(f.isSuccess());
             }
         });
     }
 
     private void end(FullHttpResponse response) {
         HttpUtil.setKeepAlive(response, false);
-        // Guards against reading on a huge body, against taking a request that nobody would answer, and against
-        // the reset that would take away the answer: what still comes stays unread until the client has had time
-        // to read it.
+        stopReading();
+        channel.writeAndFlush(response).addListener(f -> endOutput(f.isSuccess()));
+    }
+
+    // Guards against reading on a huge body, against taking a request that nobody would answer, and against the reset
+    // that would take away the answer: what still comes stays unread until the client has had time to read it.
+    private void stopReading() {
+        enter(Phase.ENDING);
         channel.config().setAutoRead(false);
-        ChannelFuture written = channel.writeAndFlush(response);
-        written.addListener(f -> {
-            if (f.isSuccess() && channel instanceof DuplexChannel duplex) {
-                duplex.shutdownOutput();
-                channel.eventLoop().schedule(this::close, LINGER_MS, TimeUnit.MILLISECONDS);
-            } else {
-                channel.close();
-            }
-        });
+    }
+
+    private void endOutput(boolean written) {
+        if (written && channel instanceof DuplexChannel duplex) {
+            duplex.shutdownOutput();
+            channel.eventLoop().schedule(this::close, LINGER_MS, TimeUnit.MILLISECONDS);
+        } else {
+            channel.close();
+        }
     }
 }
--- a/src/main/java/cobaltrack/sidecar/ClientServer.java
+++ b/src/main/java/cobaltrack/sidecar/ClientServer.java
@@ -192,7 +192,7 @@
                     }
                 }
                 case ANSWERING, ENDING -> closeIf(c, age > WRITE_MOST_MS);
-                case OPEN -> { }
+                case RECEIVED, OPEN -> { }
             }
         }
         // Guards against clients that ask once and stay: the room they take is wanted by those that ask
--- a/src/test/java/cobaltrack/sidecar/ClientServerTest.java
+++ b/src/test/java/cobaltrack/sidecar/ClientServerTest.java
@@ -4,6 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -114,6 +122,55 @@
         }
     }
 
+    // With room for one connection, a slow request whose last byte comes with a new connection is the one to go.
+    @Test
+    void aRequestThatComesWholeInTheTurnInWhichRoomIsMadeIsAnswered() throws Exception {
+        String request = TestClient.submit("50");
+        try (FakeServer e = new FakeServer(OK);
+                TestNode n = new TestNode(3, FakeServer.refusing(), "ask", e.address()); TestClient slow = n.client()) {
+            slow.send(request.substring(0, request.length() - 1));
+            n.await(() -> n.server.connections() == 1);
+            n.advance(1100);
+            List<TestClient> next = n.call(() -> {
+                slow.send(request.substring(request.length() - 1));
+                return List.of(n.client());
+            });
+            try (TestClient silent = next.get(0)) {
+                assertEquals("done", slow.read().body());
+            }
+        }
+    }
+
+    /** Gives each accepted connection a send buffer that holds little of an answer. */
+    private static final class NarrowAccept extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            ((Channel) message).config().setOption(ChannelOption.SO_SNDBUF, 4096);
+            ctx.fireChannelRead(message);
+        }
+    }
+
+    @Test
+    void anAnswerThatIsBeingWrittenGoesOutWholeThoughMoreIsAsked() throws Exception {
+        String body = "x".repeat(ResponseAssembler.MAX_BODY_BYTES);
+        try (FakeServer e = new FakeServer((r, w) -> w.ok(body));
+                TestNode n = new TestNode(FakeServer.refusing(), e.address()); Socket client = new Socket()) {
+            n.call(() -> n.listener.pipeline().addFirst(new NarrowAccept()));
+            client.setReceiveBufferSize(4096);
+            client.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), n.port));
+            client.setSoTimeout(FakeServer.PATIENCE_S * 1000);
+            client.getOutputStream().write(TestClient.submit("50").getBytes(StandardCharsets.UTF_8));
+            // It is being written once the request is over; what is asked now is read before the rest of it goes out.
+            e.awaitRequest();
+            n.await(() -> n.sidecar.held() == 0);
+            long before = n.call(n.activity::socketEvents);
+            client.getOutputStream().write("GET".getBytes(StandardCharsets.UTF_8));
+            n.await(() -> n.activity.socketEvents() > before);
+            String answer = new String(client.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+            assertTrue(answer.endsWith("\r\n\r\n" + body), "got " + answer.length() + " bytes");
+        }
+    }
+
     @Test
     void onlyWhatWasCheckedGoesOn() throws Exception {
         try (FakeServer e = new FakeServer(OK); TestNode n = new TestNode(FakeServer.refusing(), e.address());
