Bound each source file's lines in place of the module's alone

The module's width and its pointer to Contract stay checked there; new is that the wall clock may be read in one class only.

--- /dev/null
+++ b/src/test/java/cobaltrack/SourceRulesTest.java
@@ -0,0 +1,62 @@
+package cobaltrack;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** What holds for every source file of the program. */
+class SourceRulesTest {
+    private static final Path MAIN = Path.of("src/main/java");
+    private static final Path MODULE = MAIN.resolve("cobaltrack/Decide.java");
+    private static final int MAX_LINES = 400;
+    /** Until the module is split into files of one matter each it may not grow. */
+    private static final int MAX_MODULE_LINES = 1000;
+    private static final int MAX_MODULE_WIDTH = 110;
+    private static final Pattern WALL_CLOCK = Pattern.compile(
+            "currentTimeMillis|Instant\\.now|Clock\\.system|LocalDateTime|ZonedDateTime|new Date\\(");
+
+    static List<Path> sources() throws IOException {
+        try (Stream<Path> files = Files.walk(MAIN)) {
+            return files.filter(f -> f.toString().endsWith(".java")).toList();
+        }
+    }
+
+    @ParameterizedTest
+    @MethodSource("sources")
+    void aFileHoldsOneMatter(Path file) throws IOException {
+        long lines = Files.readAllLines(file).stream().filter(l -> !l.isBlank()).count();
+        assertTrue(lines <= (file.equals(MODULE) ? MAX_MODULE_LINES : MAX_LINES), file + " has " + lines);
+    }
+
+    @Test
+    void theModuleIsNarrowAndNamesItsInterface() throws IOException {
+        List<String> lines = Files.readAllLines(MODULE);
+        assertTrue(lines.stream().allMatch(l -> l.length() <= MAX_MODULE_WIDTH));
+        assertTrue(String.join("\n", lines.subList(0, 15)).contains("Contract.java"));
+    }
+
+    // Spans of time follow the monotonic clock, which no step moves.
+    @Test
+    void theWallClockIsReadInOneClassOnly() throws IOException {
+        List<String> readers = sources().stream().filter(SourceRulesTest::readsWallClock)
+                .map(f -> f.getFileName().toString()).toList();
+        assertEquals(List.of("Clock.java"), readers);
+    }
+
+    private static boolean readsWallClock(Path file) {
+        try {
+            return WALL_CLOCK.matcher(Files.readString(file)).find();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+}
