--- a/src/main/java/cobaltrack/sidecar/ArchiveTraining.java
+++ b/src/main/java/cobaltrack/sidecar/ArchiveTraining.java
@@ -32,6 +32,8 @@
     private static final int LARGE = 90_000;
     private static final String RESET = "reset";
     private static final String CLOSE = "close";
+    private static final String THEN_RESET = "\r\n\r\nthen reset";
+    private static final String THEN_CLOSE = "\r\n\r\nthen close";
     private static final String OK = "HTTP/1.1 200 OK\r\n";
     private static final String EMPTY = "Content-Length: 0\r\n\r\n";
     private static final String CHUNKED = OK + "Transfer-Encoding: chunked\r\n\r\n";
@@ -46,6 +48,7 @@
             OK + "Content-Length: x\r\n\r\n", OK + "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n",
             CHUNKED + "4\r\ndone\r\n0\r\nTrailer: x\r\n\r\n", CHUNKED + "zz\r\n",
             CHUNKED + Integer.toHexString(LARGE) + "\r\n" + "z".repeat(LARGE) + "\r\n0\r\n\r\n",
+            "HTTP/1.1 200 OK" + THEN_CLOSE, "HTTP/1.1 200 OK" + THEN_RESET,
             "HTTP/1.1 100 Continue\r\n\r\n" + OK + EMPTY, OK + EMPTY + OK + EMPTY, OK + "Content-Le", "");
 
     /** Stands in for an endpoint or for discovery: every request gets the one answer that it has. */
@@ -80,6 +83,11 @@
                 case CLOSE -> socket.close();
                 default -> write(socket, answer);
             }
+            if (answer.endsWith(THEN_CLOSE)) {
+                socket.close();
+            } else if (answer.endsWith(THEN_RESET)) {
+                reset(socket);
+            }
         }
 
         private void serve(Socket socket) {
--- a/src/test/java/cobaltrack/ColdFleetTest.java
+++ b/src/test/java/cobaltrack/ColdFleetTest.java
@@ -70,7 +70,15 @@
     static Stream<Scenario> scenarios() {
         return Stream.of(
                 Scenario.of("30 sidecars, one cold", 30, 20, 20, 0.6, 1, ""),
+                Scenario.of("one sidecar", 1, 12, 20, 0.75, 2, "burst again"),
+                Scenario.of("one sidecar, light", 1, 12, 3, 0.5, 3, "burst again"),
+                Scenario.of("one sidecar, sharp bursts", 1, 6, 5, 0.75, 3, "sharp join again"),
+                Scenario.of("one sidecar, few servers", 1, 2, 20, 0.75, 1, "burst again"),
+                Scenario.of("two sidecars", 2, 12, 10, 0.75, 4, "uneven burst again"),
+                Scenario.of("two sidecars, resets", 2, 12, 10, 0.6, 4, "resets burst again"),
+                Scenario.of("three sidecars, joining", 3, 12, 5, 0.75, 6, "join sharp again"),
                 Scenario.of("5 sidecars", 5, 12, 20, 0.75, 2, "burst again"),
+                Scenario.of("10 sidecars", 10, 12, 5, 0.75, 6, "uneven burst again"),
                 Scenario.of("20 sidecars, a quarter cold", 20, 12, 20, 0.7, 3, "burst again"),
                 Scenario.of("100 sidecars", 100, 40, 10, 0.7, 6, "burst again"),
                 Scenario.of("100 sidecars, few servers", 100, 12, 20, 0.6, 2, "burst again"),
--- a/src/test/java/cobaltrack/sidecar/ArchiveTest.java
+++ b/src/test/java/cobaltrack/sidecar/ArchiveTest.java
@@ -289,6 +289,14 @@
             meet(all, (r, w) -> w.text("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"));
             meet(all, (r, w) -> { });
             meet("get post", (r, w) -> w.text("HTTP/1.1 200 OK\r\nContent-Le"));
+            meet(all, (r, w) -> {
+                w.text("HTTP/1.1 200 OK\r\n\r\ndone");
+                w.socket().close();
+            });
+            meet(all, (r, w) -> {
+                w.text("HTTP/1.1 200 OK\r\n\r\nhalf");
+                w.reset();
+            });
             refusing(all);
             leaving();
         }
--- a/src/test/java/cobaltrack/sidecar/FakeServer.java
+++ b/src/test/java/cobaltrack/sidecar/FakeServer.java
@@ -155,11 +155,17 @@
             return null;
         }
         Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
-        for (String h = line(in); h != null && !h.isEmpty(); h = line(in)) {
+        for (String h = line(in); h == null || !h.isEmpty(); h = line(in)) {
+            if (h == null) {
+                return null;
+            }
             int colon = h.indexOf(':');
             headers.put(h.substring(0, colon).toLowerCase(Locale.ROOT), h.substring(colon + 1).trim());
         }
-        return new Request(line, headers, in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0"))));
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        byte[] body = in.readNBytes(length);
+        // A request that is cut short was never asked.
+        return body.length < length ? null : new Request(line, headers, body);
     }
 
     static String line(InputStream in) throws IOException {
--- a/src/test/java/cobaltrack/sidecar/ProcessTest.java
+++ b/src/test/java/cobaltrack/sidecar/ProcessTest.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -28,6 +29,10 @@
     }
 
     private Process start(String command, Path config, Path errors, String... options) throws IOException {
+        return builder(command, config, errors, options).start();
+    }
+
+    private static ProcessBuilder builder(String command, Path config, Path errors, String... options) {
         List<String> line = new ArrayList<>();
         line.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         line.addAll(List.of(options));
@@ -37,7 +42,7 @@
         if (config != null) {
             b.environment().put("PROXY_CONFIG", config.toString());
         }
-        return b.redirectError(errors.toFile()).start();
+        return b.redirectError(errors.toFile());
     }
 
     private static int exit(Process p) throws InterruptedException {
@@ -87,6 +92,35 @@
         }
     }
 
+    // Nothing outlives a sidecar, so there is nothing that a full or failing disk could take from it.
+    @Test
+    void servingWritesNoFile() throws Exception {
+        Path folder = Files.createDirectories(dir.resolve("working"));
+        Path temporary = Files.createDirectories(dir.resolve("temporary"));
+        String listen = FakeServer.refusing();
+        int port = Integer.parseInt(listen.substring(listen.indexOf(':') + 1));
+        try (FakeServer e = new FakeServer((r, w) -> w.ok("done"))) {
+            Path config = Files.writeString(dir.resolve("c.json"),
+                    TestNode.config(listen, FakeServer.refusing(), 1024, e.address()));
+            // With the JVM's own files off, as in the deploy file.
+            Process p = builder("serve", config, dir.resolve("err"), "-XX:-UsePerfData",
+                    "-Djava.io.tmpdir=" + temporary).directory(folder.toFile()).start();
+            try (TestClient c = connect(p, port)) {
+                assertEquals(200, c.ask(TestClient.submit("50")).status());
+                p.destroy();
+                c.close();
+                exit(p);
+            } finally {
+                p.destroyForcibly();
+            }
+        }
+        for (Path empty : List.of(folder, temporary)) {
+            try (Stream<Path> files = Files.list(empty)) {
+                assertEquals(List.of(), files.toList());
+            }
+        }
+    }
+
     @Test
     void aTerminatedSidecarAnswersWhatItHoldsBeforeItExits() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
--- a/src/test/java/cobaltrack/sidecar/TestClient.java
+++ b/src/test/java/cobaltrack/sidecar/TestClient.java
@@ -1,6 +1,7 @@
 package cobaltrack.sidecar;
 
 import java.io.BufferedInputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -60,7 +61,7 @@
         return read();
     }
 
-    /** The next answer, read whole; null if the connection ended first. */
+    /** The next answer, read whole; null if the connection ended before it began. */
     Answer read() throws IOException {
         String line = FakeServer.line(in);
         if (line == null) {
@@ -70,7 +71,11 @@
         for (String h = FakeServer.line(in); !h.isEmpty(); h = FakeServer.line(in)) {
             headers.put(h.substring(0, h.indexOf(':')), h.substring(h.indexOf(':') + 1).trim());
         }
-        byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        byte[] body = in.readNBytes(length);
+        if (body.length < length) {
+            throw new EOFException("only " + body.length + " of " + length + " bytes came");
+        }
         return new Answer(Integer.parseInt(line.split(" ")[1]), headers, new String(body, StandardCharsets.UTF_8));
     }
 
--- a/src/test/java/cobaltrack/sidecar/WatchTest.java
+++ b/src/test/java/cobaltrack/sidecar/WatchTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** One watch against what discovery may do to it: pieces, nonsense, silence, and a move at any of these moments. */
@@ -207,6 +208,38 @@
         }
     }
 
+    // An object says itself where it ends, whatever the framing of the response and the end of the connection.
+    @ParameterizedTest
+    @CsvSource({"false, false", "false, true", "true, false", "true, true"})
+    void ofAnAnswerWithoutALengthWholeObjectsAreTakenAndNoOthers(boolean reset, boolean cut) throws Exception {
+        String list = list(51, true, "b", "c");
+        try (FakeServer d = server()) {
+            for (String head : List.of("HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n",
+                    "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 9999\r\n\r\n")) {
+                if (discovery == null) {
+                    watch(d.address(), "ask");
+                } else {
+                    again();
+                }
+                FakeServer.Wire w = next(calls);
+                w.text(head + list(50, true, "a") + "\n" + (cut ? list.substring(0, list.length() - 1) : list));
+                if (reset) {
+                    w.reset();
+                } else {
+                    w.socket().close();
+                }
+                assertEquals("FULL 50 [a]", next(heard));
+                if (!cut) {
+                    assertEquals("FULL 51 [b, c]", next(heard));
+                }
+                assertEquals("FAILED", next(heard));
+                turn();
+                assertEquals(0, heard.size());
+            }
+            assertEquals(List.of(), log);
+        }
+    }
+
     @Test
     void emptyLinesKeepAWatch() throws Exception {
         try (FakeServer d = server()) {
