Train the class archive on lists cut anywhere, and name bounds by the field's terms

ArchiveTest now tells one list byte by byte, which fails each time without the training on the same.

The bounds of the sidecar named ..._MOST and ..._LEAST are MAX_... and MIN_... now, and the most connections of ClientServer maxConnections.

--- a/src/main/java/cobaltrack/sidecar/ArchiveTraining.java
+++ b/src/main/java/cobaltrack/sidecar/ArchiveTraining.java
@@ -5,7 +5,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.BufferedInputStream;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -15,8 +14,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -30,10 +27,6 @@
     private static final int PATIENCE_MS = 5000;
     private static final int TRIES = 50;
     private static final int LARGE = 90_000;
-    private static final String RESET = "reset";
-    private static final String CLOSE = "close";
-    private static final String THEN_RESET = "\r\n\r\nthen reset";
-    private static final String THEN_CLOSE = "\r\n\r\nthen close";
     private static final String OK = "HTTP/1.1 200 OK\r\n";
     private static final String EMPTY = "Content-Length: 0\r\n\r\n";
     private static final String CHUNKED = OK + "Transfer-Encoding: chunked\r\n\r\n";
@@ -42,75 +35,22 @@
                     + "Content-Length: 4\r\n\r\ndone",
             "HTTP/1.1 500 Internal Server Error\r\n" + EMPTY,
             "HTTP/1.1 503 Service Unavailable\r\nNot-Started: 1\r\n" + EMPTY,
-            RESET, CLOSE, "noise\r\nnoise\r\n\r\n", OK + "no colon\r\n\r\n",
+            TrainingServer.RESET, TrainingServer.CLOSE, "noise\r\nnoise\r\n\r\n", OK + "no colon\r\n\r\n",
             OK + "X: y\r\n".repeat(LARGE / 6),
             OK + "X: " + "y".repeat(LARGE), OK + "Content-Length: " + LARGE + "\r\n\r\n",
             OK + "Content-Length: x\r\n\r\n", OK + "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n",
             CHUNKED + "4\r\ndone\r\n0\r\nTrailer: x\r\n\r\n", CHUNKED + "zz\r\n",
             CHUNKED + Integer.toHexString(LARGE) + "\r\n" + "z".repeat(LARGE) + "\r\n0\r\n\r\n",
-            "HTTP/1.1 200 OK" + THEN_CLOSE, "HTTP/1.1 200 OK" + THEN_RESET,
+            OK + TrainingServer.THEN_CLOSE, OK + TrainingServer.THEN_RESET,
             "HTTP/1.1 100 Continue\r\n\r\n" + OK + EMPTY, OK + EMPTY + OK + EMPTY, OK + "Content-Le", "");
 
-    /** Stands in for an endpoint or for discovery: every request gets the one answer that it has. */
-    private static final class StandIn {
-        private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        private final BlockingQueue<Socket> asked = new LinkedBlockingQueue<>();
-        private final String answer;
-
-        private StandIn(String answer) throws IOException {
-            this.answer = answer;
-            daemon(this::accept);
-        }
-
-        private String address() {
-            return "127.0.0.1:" + listener.getLocalPort();
-        }
-
-        private void accept() {
-            try {
-                while (true) {
-                    Socket socket = listener.accept();
-                    daemon(() -> serve(socket));
-                }
-            } catch (IOException e) {
-                // the end
-            }
-        }
-
-        private void answer(Socket socket) throws IOException {
-            switch (answer) {
-                case RESET -> reset(socket);
-                case CLOSE -> socket.close();
-                default -> write(socket, answer);
-            }
-            if (answer.endsWith(THEN_CLOSE)) {
-                socket.close();
-            } else if (answer.endsWith(THEN_RESET)) {
-                reset(socket);
-            }
-        }
-
-        private void serve(Socket socket) {
-            try (socket) {
-                InputStream in = new BufferedInputStream(socket.getInputStream());
-                while (read(in)) {
-                    answer(socket);
-                    // Not before: what is pushed on a watch follows the head of its answer.
-                    asked.add(socket);
-                }
-            } catch (IOException e) {
-                // the other side has gone, or was to be
-            }
-        }
-    }
-
     private final Path file;
     private final boolean pushed;
     private final ObjectMapper mapper = new ObjectMapper();
     private final ObjectNode config;
     private final int port;
-    private final StandIn discovery = new StandIn(CHUNKED);
-    private StandIn watched;
+    private final TrainingServer discovery = new TrainingServer(CHUNKED);
+    private TrainingServer watched;
     private Socket watch;
     private int seq;
     private int requests;
@@ -195,9 +135,9 @@
         Files.writeString(file, config.put("discovery", address).toString());
     }
 
-    private void awaitWatch(StandIn from) throws Exception {
+    private void awaitWatch(TrainingServer from) throws Exception {
         watched = from;
-        watch = from.asked.poll(PATIENCE_MS, TimeUnit.MILLISECONDS);
+        watch = from.asked().poll(PATIENCE_MS, TimeUnit.MILLISECONDS);
         if (watch == null) {
             throw new IOException("no watch came");
         }
@@ -205,7 +145,7 @@
     }
 
     private void newest() {
-        for (Socket newer = watched.asked.poll(); newer != null; newer = watched.asked.poll()) {
+        for (Socket newer = watched.asked().poll(); newer != null; newer = watched.asked().poll()) {
             watch = newer;
         }
     }
@@ -226,16 +166,30 @@
         if (watch.isClosed()) {
             awaitWatch(watched);
         }
-        write(watch, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+        TrainingServer.write(watch, chunk(text));
+    }
+
+    // Cuts every name, number and word of a list, as reads of any size may.
+    private void pushByteByByte(String text) throws IOException {
+        newest();
+        StringBuilder chunks = new StringBuilder();
+        for (char c : text.toCharArray()) {
+            chunks.append(chunk(String.valueOf(c)));
+        }
+        TrainingServer.write(watch, chunks.toString());
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
     }
 
     // The only endpoint on the list, so that it is asked.
-    private StandIn meet(String answer) throws Exception {
-        StandIn endpoint = new StandIn(answer);
+    private TrainingServer meet(String answer) throws Exception {
+        TrainingServer endpoint = new TrainingServer(answer);
         String host = host("e" + seq, endpoint.address(), "ready");
         for (int kind = 0; kind < 3; kind++) {
-            endpoint.asked.clear();
-            for (int i = 0; i < TRIES && endpoint.asked.isEmpty(); i++) {
+            endpoint.asked().clear();
+            for (int i = 0; i < TRIES && endpoint.asked().isEmpty(); i++) {
                 list(true, host);
                 ask(request(kind, "0.150"));
             }
@@ -244,8 +198,8 @@
     }
 
     private void refused() throws Exception {
-        StandIn ended = new StandIn("");
-        ended.listener.close();
+        TrainingServer ended = new TrainingServer("");
+        ended.close();
         list(true, host("refusing", ended.address(), "ready"));
         for (int i = 0; i < TRIES; i++) {
             ask(request(i % 3, "0.150"));
@@ -253,25 +207,26 @@
     }
 
     private void leave() throws Exception {
-        StandIn silent = new StandIn("");
-        for (int i = 0; i < TRIES && silent.asked.isEmpty(); i++) {
+        TrainingServer silent = new TrainingServer("");
+        for (int i = 0; i < TRIES && silent.asked().isEmpty(); i++) {
             list(true, host("silent", silent.address(), "ready"));
             Socket client = client(request(i % 3, "0.900"));
-            silent.asked.poll(PATIENCE_MS / TRIES, TimeUnit.MILLISECONDS);
+            silent.asked().poll(PATIENCE_MS / TRIES, TimeUnit.MILLISECONDS);
             client.close();
         }
     }
 
     private void lists() throws Exception {
-        StandIn good = meet(ANSWERS.get(0));
+        TrainingServer good = meet(ANSWERS.get(0));
         String kept = host("kept", good.address(), "ready");
         push(("{\"seq\":" + ++seq + ",\"whole\":true,\"hosts\":[" + kept + "]}")
                 .replace(",", " ,\r\n\t") + "\n");
+        pushByteByByte("{\"seq\":" + ++seq + ",\"whole\":true,\"hosts\":[" + kept + "]}\n");
         list(false, host("kept", good.address(), "draining"));
         list(false, host("kept", good.address(), "gone"));
         list(false, kept, host("also", good.address(), "ready"));
         ask(request(0, "0.150"));
-        reset(watch);
+        TrainingServer.reset(watch);
         awaitWatch(discovery);
         if (!pushed) {
             // Each further loss would have the module wait longer before it asks again.
@@ -284,7 +239,7 @@
         }
         watch.close();
         awaitWatch(discovery);
-        write(watch, "0\r\n\r\n");
+        TrainingServer.write(watch, "0\r\n\r\n");
         awaitWatch(discovery);
     }
 
@@ -317,18 +272,18 @@
     }
 
     private void hangups() throws Exception {
-        StandIn broken = new StandIn("HTTP/1.1 503 Service Unavailable\r\n" + EMPTY);
-        StandIn moved = new StandIn(CHUNKED);
+        TrainingServer broken = new TrainingServer("HTTP/1.1 503 Service Unavailable\r\n" + EMPTY);
+        TrainingServer moved = new TrainingServer(CHUNKED);
         hangup(broken.address());
-        broken.asked.poll(PATIENCE_MS, TimeUnit.MILLISECONDS);
+        broken.asked().poll(PATIENCE_MS, TimeUnit.MILLISECONDS);
         Files.writeString(file, "{");
         raise();
-        StandIn refusing = new StandIn("");
-        refusing.listener.close();
+        TrainingServer refusing = new TrainingServer("");
+        refusing.close();
         // Nothing tells when these two have been heard of.
-        moved.asked.poll(PATIENCE_MS / TRIES, TimeUnit.MILLISECONDS);
+        moved.asked().poll(PATIENCE_MS / TRIES, TimeUnit.MILLISECONDS);
         hangup(refusing.address());
-        moved.asked.poll(PATIENCE_MS / TRIES, TimeUnit.MILLISECONDS);
+        moved.asked().poll(PATIENCE_MS / TRIES, TimeUnit.MILLISECONDS);
         hangup(moved.address());
         awaitWatch(moved);
     }
@@ -347,16 +302,16 @@
     // Clients of each kind that the drain is to find: with a request held, with half of one, and idle.
     private List<Socket> hold() throws Exception {
         List<Socket> held = new ArrayList<>();
-        StandIn silent = new StandIn("");
-        for (int i = 0; i < TRIES && silent.asked.isEmpty(); i++) {
+        TrainingServer silent = new TrainingServer("");
+        for (int i = 0; i < TRIES && silent.asked().isEmpty(); i++) {
             list(true, host("held", silent.address(), "ready"));
             held.add(client(request(1, "60")));
-            silent.asked.poll(PATIENCE_MS / TRIES, TimeUnit.MILLISECONDS);
+            silent.asked().poll(PATIENCE_MS / TRIES, TimeUnit.MILLISECONDS);
         }
         held.add(client("GET"));
         held.add(client(""));
         Socket idle = client("GET /health/ready HTTP/1.1\r\n\r\n");
-        read(new BufferedInputStream(idle.getInputStream()));
+        TrainingServer.read(new BufferedInputStream(idle.getInputStream()));
         held.add(idle);
         return held;
     }
@@ -372,7 +327,7 @@
     private Socket client(String text) throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
         socket.setSoTimeout(PATIENCE_MS);
-        write(socket, text);
+        TrainingServer.write(socket, text);
         return socket;
     }
 
@@ -384,43 +339,6 @@
         }
     }
 
-    private static void write(Socket socket, String text) throws IOException {
-        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-    }
-
-    private static void reset(Socket socket) throws IOException {
-        socket.setSoLinger(true, 0);
-        socket.close();
-    }
-
-    // One message with its body; false at the end.
-    private static boolean read(InputStream in) throws IOException {
-        int length = 0;
-        for (String line = line(in); line != null; line = line(in)) {
-            if (line.isEmpty()) {
-                in.skipNBytes(length);
-                return true;
-            }
-            if (line.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
-                length = Integer.parseInt(line.substring(line.indexOf(':') + 1).trim());
-            }
-        }
-        return false;
-    }
-
-    private static String line(InputStream in) throws IOException {
-        StringBuilder line = new StringBuilder();
-        for (int c = in.read(); c != '\n'; c = in.read()) {
-            if (c < 0) {
-                return null;
-            }
-            if (c != '\r') {
-                line.append((char) c);
-            }
-        }
-        return line.toString();
-    }
-
     private static void close(Socket socket) {
         try {
             socket.close();
@@ -428,10 +346,4 @@
             tell(e);
         }
     }
-
-    private static void daemon(Runnable task) {
-        Thread thread = new Thread(task);
-        thread.setDaemon(true);
-        thread.start();
-    }
 }
--- a/src/main/java/cobaltrack/sidecar/ClientServer.java
+++ b/src/main/java/cobaltrack/sidecar/ClientServer.java
@@ -24,27 +24,27 @@
  */
 final class ClientServer {
     /** A request comes whole within this time, or is answered 408: bad clients are owed a word within 3 s. */
-    private static final double RECEIVE_MOST_MS = 2500;
+    private static final double MAX_RECEIVE_MS = 2500;
     /** A client that does not read its answer for so long is gone. */
-    private static final double WRITE_MOST_MS = 2500;
+    private static final double MAX_WRITE_MS = 2500;
     /** A connection without an open request may be closed from then on, when there are many. */
-    private static final double IDLE_LEAST_MS = 2000;
+    private static final double MIN_IDLE_MS = 2000;
     /** A good request has come whole long before; one that has not makes room for a new connection. */
-    private static final double SLOW_LEAST_MS = 1000;
+    private static final double MIN_SLOW_MS = 1000;
     /** An idle connection is closed after a minute in any case. */
-    private static final double IDLE_MOST_MS = 60_000;
+    private static final double MAX_IDLE_MS = 60_000;
     /** The share of the connections allowed from which idle ones are many. */
     private static final int MANY_SHARE = 4;
     private static final long SWEEP_MS = 200;
     /** Reads of one connection in a turn, as Netty has it where no other way of reading is set. */
-    private static final int READS_MOST = 16;
+    private static final int MAX_READS = 16;
 
     private final EventLoop loop;
     private final Clock clock;
     private final Sidecar sidecar;
     private final RequestCheck check;
     private final DrainSchedule drainSchedule;
-    private final int most;
+    private final int maxConnections;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
     private boolean ready;
@@ -56,15 +56,15 @@
     /**
      * A server for one application.
      *
-     * @param most connections from the application at once; beyond that, room is made
+     * @param maxConnections connections from the application at once; beyond that, room is made
      */
-    ClientServer(EventLoop loop, Clock clock, Sidecar sidecar, Contract.Settings settings, int most) {
+    ClientServer(EventLoop loop, Clock clock, Sidecar sidecar, Contract.Settings settings, int maxConnections) {
         this.loop = loop;
         this.clock = clock;
         this.sidecar = sidecar;
         this.check = new RequestCheck(settings);
         this.drainSchedule = DrainSchedule.of(settings);
-        this.most = most;
+        this.maxConnections = maxConnections;
         loop.scheduleAtFixedRate(() -> SelectBarrier.runAfterSelect(loop, this::sweep), SWEEP_MS, SWEEP_MS,
                 TimeUnit.MILLISECONDS);
     }
@@ -89,10 +89,10 @@
                 // Reads up to where nothing is left: else the end of a connection would be found a turn later
                 // than the request before it, which would be sent on for a client that has gone.
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator()
-                        .respectMaybeMoreData(false).maxMessagesPerRead(READS_MOST))
+                        .respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS))
                 // Accepts up to where none waits: a connection that waits when the listener closes is reset.
                 .option(ChannelOption.RECVBUF_ALLOCATOR,
-                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(Math.max(READS_MOST, most)))
+                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(Math.max(MAX_READS, maxConnections)))
                 .bind(address);
     }
 
@@ -142,7 +142,7 @@
 
     void opened(ClientConnection connection) {
         connections.add(connection);
-        if (connections.size() > most) {
+        if (connections.size() > maxConnections) {
             makeRoom(connection);
         }
     }
@@ -160,9 +160,9 @@
         ClientConnection idle = oldest(ClientConnection.Phase.IDLE);
         ClientConnection silent = oldest(ClientConnection.Phase.SILENT);
         ClientConnection slow = oldest(ClientConnection.Phase.RECEIVING);
-        if (idle != null && now - idle.since() > IDLE_LEAST_MS) {
+        if (idle != null && now - idle.since() > MIN_IDLE_MS) {
             idle.close();
-        } else if (silent != newest || slow == null || now - slow.since() < SLOW_LEAST_MS) {
+        } else if (silent != newest || slow == null || now - slow.since() < MIN_SLOW_MS) {
             silent.close();
         } else {
             slow.close();
@@ -184,21 +184,21 @@
         for (ClientConnection c : List.copyOf(connections)) {
             double age = now - c.since();
             switch (c.phase()) {
-                case SILENT -> closeIf(c, age > RECEIVE_MOST_MS);
-                case IDLE -> closeIf(c, age > IDLE_MOST_MS);
+                case SILENT -> closeIf(c, age > MAX_RECEIVE_MS);
+                case IDLE -> closeIf(c, age > MAX_IDLE_MS);
                 case RECEIVING -> {
-                    if (age > RECEIVE_MOST_MS) {
+                    if (age > MAX_RECEIVE_MS) {
                         c.tooSlow();
                     }
                 }
-                case ANSWERING, ENDING -> closeIf(c, age > WRITE_MOST_MS);
+                case ANSWERING, ENDING -> closeIf(c, age > MAX_WRITE_MS);
                 case RECEIVED, OPEN -> { }
             }
         }
         // Guards against clients that ask once and stay: the room they take is wanted by those that ask
         // again.
         ClientConnection idle = oldest(ClientConnection.Phase.IDLE);
-        while (connections.size() > most / MANY_SHARE && idle != null && now - idle.since() > IDLE_LEAST_MS) {
+        while (connections.size() > maxConnections / MANY_SHARE && idle != null && now - idle.since() > MIN_IDLE_MS) {
             idle.close();
             idle = oldest(ClientConnection.Phase.IDLE);
         }
--- a/src/main/java/cobaltrack/sidecar/Clock.java
+++ b/src/main/java/cobaltrack/sidecar/Clock.java
@@ -35,7 +35,7 @@
         return unixAtStart + (nanos.getAsLong() - nanosAtStart) / NANOS_IN_MILLI;
     }
 
-    /** How far the wall clock is ahead of this one now, in milliseconds: by as much as it was stepped, and its drift. */
+    /** By how many milliseconds the wall clock is ahead of this one: as far as it was stepped, and its drift. */
     double wallClockOffset() {
         return wallMillis.getAsLong() - now();
     }
--- a/src/main/java/cobaltrack/sidecar/Decimals.java
+++ b/src/main/java/cobaltrack/sidecar/Decimals.java
@@ -15,19 +15,19 @@
     private static final int PLACES = 3;
     private static final int SCALE = 1000;
     /** Below it, how far a product with {@link #SCALE} is off lies well within {@link #CLOSE}. */
-    private static final double PLAIN_MOST = 1e9;
+    private static final double MAX_PLAIN = 1e9;
     /** So close to a half, the decimal digits of the number itself tell which way it is rounded. */
     private static final double CLOSE = 1e-3;
 
     private Decimals() { }
 
-    /** The number, or NaN if it is malformed or over {@code most}. */
-    static double parse(String text, double most) {
+    /** The number, or NaN if it is malformed or over {@code max}. */
+    static double parse(String text, double max) {
         if (!PLAIN.matcher(text).matches()) {
             return Double.NaN;
         }
         double value = Double.parseDouble(text);
-        return value <= most ? value : Double.NaN;
+        return value <= max ? value : Double.NaN;
     }
 
     /**
@@ -35,7 +35,7 @@
      * microseconds, for a header that each attempt has.
      */
     static String thousandths(double value) {
-        if (Double.compare(value, 0) < 0 || !(value < PLAIN_MOST)) {
+        if (Double.compare(value, 0) < 0 || !(value < MAX_PLAIN)) {
             return String.format(Locale.ROOT, "%.3f", value);
         }
         double scaled = value * SCALE;
--- a/src/main/java/cobaltrack/sidecar/Discovery.java
+++ b/src/main/java/cobaltrack/sidecar/Discovery.java
@@ -51,8 +51,8 @@
     private static final double SILENT_MS = 2600;
     private static final double SILENT_SPREAD_MS = 1000;
     private static final long LOOK_MS = 100;
-    private static final double BACKOFF_FIRST_MS = 100;
-    private static final double BACKOFF_MOST_MS = 4000;
+    private static final double FIRST_BACKOFF_MS = 100;
+    private static final double MAX_BACKOFF_MS = 4000;
     /** Of the grace that a drain allows: what the local agent has counts as told, whether it is heard or not. */
     private static final double PUSHED_SHARE = 0.2;
 
@@ -60,7 +60,7 @@
     private final Clock clock;
     private final ObjectMapper mapper;
     private final boolean pushed;
-    private final double backoffMost;
+    private final double maxBackoff;
     private final Random random;
     private final Listener listener;
     private final Consumer<String> log;
@@ -69,7 +69,7 @@
     private Long seq;
     /** The watch under way; others that have not ended yet are no longer heeded. */
     private Call current;
-    private double backoff = BACKOFF_FIRST_MS;
+    private double backoff = FIRST_BACKOFF_MS;
     /** True from a list that can't be read to the next good one: it is told once. */
     private boolean spoilt;
 
@@ -82,7 +82,7 @@
         this.address = address;
         this.mapper = mapper;
         this.pushed = !settings.listMustBeAsked();
-        this.backoffMost = Math.min(BACKOFF_MOST_MS,
+        this.maxBackoff = Math.min(MAX_BACKOFF_MS,
                 Math.max(1, settings.obligations().drainGrace() * PUSHED_SHARE));
         this.random = new Random(seed);
         this.seq = known == null ? null : known.seq();
@@ -132,7 +132,7 @@
         }
         address = next;
         seq = null;
-        backoff = BACKOFF_FIRST_MS;
+        backoff = FIRST_BACKOFF_MS;
         // The end of the old watch is meant and no failure, and what it still has to say is out of date.
         Call old = current;
         current = null;
@@ -164,7 +164,7 @@
 
     /** How long to wait before the local agent is asked again. */
     double pushedWait() {
-        double wait = Math.min(backoffMost, backoff) * (0.5 + random.nextDouble());
+        double wait = Math.min(maxBackoff, backoff) * (0.5 + random.nextDouble());
         backoff *= 2;
         return wait;
     }
@@ -240,7 +240,7 @@
                 throw new IllegalArgumentException("it goes back in its version; the whole is asked for");
             }
             seq = list.seq();
-            backoff = BACKOFF_FIRST_MS;
+            backoff = FIRST_BACKOFF_MS;
             spoilt = false;
             listener.list(list.whole() ? Contract.ListKind.FULL : Contract.ListKind.CHANGES, list);
         }
--- a/src/main/java/cobaltrack/sidecar/EndpointList.java
+++ b/src/main/java/cobaltrack/sidecar/EndpointList.java
@@ -18,7 +18,7 @@
     /** An endpoint for the module, and where to connect to it; null for one that is gone. */
     record Entry(Contract.Server server, SocketAddress address) { }
 
-    private static final int PORT_MOST = 65535;
+    private static final int MAX_PORT = 65535;
 
     /**
      * Reads discovery's form. One bad entry makes the whole list bad: half a list would lose a drain unseen.
@@ -83,7 +83,7 @@
         }
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
-            if (port < 0 || port > PORT_MOST) {
+            if (port < 0 || port > MAX_PORT) {
                 throw new IllegalArgumentException("'" + text + "' has no such port");
             }
             return new InetSocketAddress(InetAddress.getByAddress(ip), port);
--- a/src/main/java/cobaltrack/sidecar/ListReader.java
+++ b/src/main/java/cobaltrack/sidecar/ListReader.java
@@ -18,7 +18,7 @@
  */
 final class ListReader {
     /** The bytes of one object at most: some thousand endpoints; more is not meant to end. */
-    static final int OBJECT_MOST = 1 << 20;
+    static final int MAX_OBJECT_BYTES = 1 << 20;
 
     private final ObjectMapper mapper;
     private final JsonParser parser;
@@ -49,8 +49,8 @@
             return false;
         }
         size += in.length;
-        if (size > OBJECT_MOST) {
-            throw new IOException("an object of over " + OBJECT_MOST + " bytes");
+        if (size > MAX_OBJECT_BYTES) {
+            throw new IOException("an object of over " + MAX_OBJECT_BYTES + " bytes");
         }
         boolean alive = false;
         feeder.feedInput(in, 0, in.length);
--- a/src/main/java/cobaltrack/sidecar/LoadReport.java
+++ b/src/main/java/cobaltrack/sidecar/LoadReport.java
@@ -10,7 +10,7 @@
      * A peer's word: no endpoint holds or serves more, and a larger figure would spoil the means it goes
      * into.
      */
-    private static final double MOST = 1e6;
+    private static final double MAX_VALUE = 1e6;
 
     private LoadReport() { }
 
@@ -29,7 +29,7 @@
         double errors = Double.NaN;
         for (String part : text.split(",", -1)) {
             int eq = part.indexOf('=');
-            double value = eq < 0 ? Double.NaN : Decimals.parse(part.substring(eq + 1).trim(), MOST);
+            double value = eq < 0 ? Double.NaN : Decimals.parse(part.substring(eq + 1).trim(), MAX_VALUE);
             if (Double.isNaN(value)) {
                 return null;
             }
--- a/src/main/java/cobaltrack/sidecar/Main.java
+++ b/src/main/java/cobaltrack/sidecar/Main.java
@@ -26,7 +26,7 @@
     private static final int ENDPOINT_SHARE = 6;
     private static final int SHARES = 16;
     /** How long a start waits for a pushed list; with the agent out of reach the last one known must do. */
-    private static final long LISTED_MOST_MS = 2000;
+    private static final long MAX_LIST_WAIT_MS = 2000;
 
     private static final Consumer<String> LOG = System.err::println;
 
@@ -117,7 +117,7 @@
                 // What the local agent has counts as told from the start: the list that the file brings is not
                 // to be served by before the agent's has come, unless there is none to be had.
                 sidecar.whenListed(server::ready);
-                loop.schedule(server::ready, LISTED_MOST_MS, TimeUnit.MILLISECONDS);
+                loop.schedule(server::ready, MAX_LIST_WAIT_MS, TimeUnit.MILLISECONDS);
             }
             sidecar.start(discovery::watch, config.known());
         });
--- a/src/main/java/cobaltrack/sidecar/RequestCheck.java
+++ b/src/main/java/cobaltrack/sidecar/RequestCheck.java
@@ -53,9 +53,9 @@
             HttpHeaderNames.HOST, HttpHeaderNames.CONTENT_LENGTH, HttpHeaderNames.TRANSFER_ENCODING,
             HttpHeaderNames.CONTENT_TYPE);
     /** Longer names than any client has; they are kept and passed on. */
-    private static final int NAME_MOST = 256;
+    private static final int MAX_NAME_LENGTH = 256;
     /** An hour: no client waits longer, and timers far out would only pile up. */
-    private static final double TIMEOUT_MOST_S = 3600;
+    private static final double MAX_TIMEOUT_S = 3600;
     private static final double MILLIS = 1000;
 
     private final List<Contract.RequestClass> classes;
@@ -105,16 +105,16 @@
         HttpHeaders headers = request.headers();
         String id = headers.get(ID, "");
         Integer k = classIndex.get(headers.get(CLASS, ""));
-        require(k != null && visible(id, NAME_MOST));
+        require(k != null && visible(id, MAX_NAME_LENGTH));
         Contract.RequestClass type = classes.get(k);
         HttpMethod method = type.effect() == Contract.Effect.SAFE ? HttpMethod.GET : HttpMethod.POST;
         if (!request.method().equals(method)) {
             throw new Rejected(HttpResponseStatus.METHOD_NOT_ALLOWED);
         }
         String key = headers.get(KEY);
-        require(key == null ? type.effect() != Contract.Effect.KEYED : visible(key, NAME_MOST));
+        require(key == null ? type.effect() != Contract.Effect.KEYED : visible(key, MAX_NAME_LENGTH));
         String timeout = headers.get(TIMEOUT);
-        double wait = timeout == null ? type.deadline() : Decimals.parse(timeout, TIMEOUT_MOST_S) * MILLIS;
+        double wait = timeout == null ? type.deadline() : Decimals.parse(timeout, MAX_TIMEOUT_S) * MILLIS;
         require(wait > 0);
         return new Checked(id, k, tenantIndex.getOrDefault(headers.get(TENANT, ""), -1), wait,
                 "1".equals(headers.get(REPEAT)), method, request.uri(), onward(headers, id, key));
@@ -137,8 +137,8 @@
     }
 
     // ASCII without blanks and control characters, which endpoints might read differently.
-    private static boolean visible(String text, int most) {
-        return !text.isEmpty() && text.length() <= most && text.chars().allMatch(c -> c > ' ' && c < 0x7f);
+    private static boolean visible(String text, int maxLength) {
+        return !text.isEmpty() && text.length() <= maxLength && text.chars().allMatch(c -> c > ' ' && c < 0x7f);
     }
 
     private static void require(boolean good) throws Rejected {
--- a/src/main/java/cobaltrack/sidecar/Warmup.java
+++ b/src/main/java/cobaltrack/sidecar/Warmup.java
@@ -43,7 +43,7 @@
      */
     private static final int REQUESTS = 600;
     /** A restarted sidecar is missed: on a very short core it had better serve cold than late. */
-    private static final long MOST_MS = 1500;
+    private static final long MAX_WAIT_MS = 1500;
     private static final byte[] BODY = new byte[256];
 
     private final EventLoop loop = Main.eventLoop(new LoopActivity());
@@ -68,7 +68,7 @@
         Clock clock = new Clock();
         int sockets = 8;
         EndpointPool pool =
-                new EndpointPool(loop, NioSocketChannel.class, clock, (int) MOST_MS, MOST_MS, sockets);
+                new EndpointPool(loop, NioSocketChannel.class, clock, (int) MAX_WAIT_MS, MAX_WAIT_MS, sockets);
         Sidecar sidecar = new Sidecar(loop, clock, settings, 0, pool, line -> { });
         ClientServer server = new ClientServer(loop, clock, sidecar, settings, sockets);
         SocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
@@ -78,7 +78,7 @@
         if (endpoint.isSuccess() && front.isSuccess()) {
             ask(sidecar, endpoint.channel().localAddress(), front.channel().localAddress());
         }
-        loop.parent().shutdownGracefully(0, MOST_MS, TimeUnit.MILLISECONDS);
+        loop.parent().shutdownGracefully(0, MAX_WAIT_MS, TimeUnit.MILLISECONDS);
         return served;
     }
 
@@ -88,7 +88,7 @@
         loop.execute(() -> sidecar.start(() -> { }, list));
         new Bootstrap().group(loop).channel(NioSocketChannel.class).handler(pipeline(false)).connect(front);
         try {
-            if (!done.await(MOST_MS, TimeUnit.MILLISECONDS)) {
+            if (!done.await(MAX_WAIT_MS, TimeUnit.MILLISECONDS)) {
                 loop.execute(() -> left = 0);
             }
         } catch (InterruptedException e) {
--- a/src/test/java/cobaltrack/sidecar/ArchiveTest.java
+++ b/src/test/java/cobaltrack/sidecar/ArchiveTest.java
@@ -35,7 +35,7 @@
  */
 class ArchiveTest {
     private static final int TRIES = 400;
-    private static final int TRAINING_MOST_S = 240;
+    private static final int MAX_TRAINING_S = 240;
 
     @TempDir
     Path dir;
@@ -47,7 +47,7 @@
         Path errors = dir.resolve("err");
         String build = command("build");
         Process training = shell(build.substring(build.indexOf("&&") + 2), jar, errors);
-        assertTrue(training.waitFor(TRAINING_MOST_S, TimeUnit.SECONDS));
+        assertTrue(training.waitFor(MAX_TRAINING_S, TimeUnit.SECONDS));
         String told = Files.readString(errors);
         assertEquals(0, training.exitValue(), told);
         assertFalse(told.contains("left out"), told);
@@ -160,7 +160,15 @@
 
         private void tell(String text) throws IOException {
             newest();
-            watch.text(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+            watch.chunk(text);
+        }
+
+        /** Cuts every name, number and word of a list, as reads of any size may. */
+        private void tellByteByByte(String text) throws IOException {
+            newest();
+            for (char c : text.toCharArray()) {
+                watch.chunk(String.valueOf(c));
+            }
         }
 
         @Override
@@ -366,6 +374,7 @@
             FakeServer e = meet("get", (r, w) -> w.ok("done"));
             String host = TestNode.host("kept", e.address(), "ready");
             registry.tell(TestNode.list(++seq, true, host).replace(",", " ,\n  ").replace("{", "{\r\n\t") + "\n");
+            registry.tellByteByByte(TestNode.list(++seq, true, host) + "\n");
             registry.tell("\n");
             registry.tell(TestNode.list(++seq, false, TestNode.host("kept", e.address(), "draining")) + "\n");
             registry.tell(TestNode.list(++seq, false, TestNode.host("kept", e.address(), "gone")) + "\n");
--- a/src/test/java/cobaltrack/sidecar/ResponseWithoutLengthTest.java
+++ b/src/test/java/cobaltrack/sidecar/ResponseWithoutLengthTest.java
@@ -106,8 +106,9 @@
 
     @Test
     void eachOneHasAConnectionOfItsOwn() throws Exception {
-        try (FakeServer e = new FakeServer(thenClose(HEAD + "done")); TestNode n = node(e.address());
-                TestClient c = n.client()) {
+        // With room for one connection to all endpoints, each has to be released before the next.
+        try (FakeServer e = new FakeServer(thenClose(HEAD + "done"));
+                TestNode n = new TestNode(4, FakeServer.refusing(), "ask", e.address()); TestClient c = n.client()) {
             for (int i = 1; i <= 20; i++) {
                 assertServed("done", c.ask(TestClient.submit("50")));
                 e.awaitEnd();
--- a/src/test/java/cobaltrack/sidecar/WatchTest.java
+++ b/src/test/java/cobaltrack/sidecar/WatchTest.java
@@ -151,7 +151,7 @@
     @ValueSource(strings = {"[1]", "5 ", "{\"seq\":1}", "{{", "{\"seq\":60,\"whole\":true,\"hosts\":[{}]}", "ENDLESS",
         "{\"a\":\"ENDLESS", "DEEP"})
     void aListThatCannotBeReadCostsOneLineAndTheWatch(String bad) throws Exception {
-        String text = bad.replace("ENDLESS", "x".repeat(ListReader.OBJECT_MOST + 1)).replace("DEEP",
+        String text = bad.replace("ENDLESS", "x".repeat(ListReader.MAX_OBJECT_BYTES + 1)).replace("DEEP",
                 "{\"a\":".repeat(5000));
         try (FakeServer d = server()) {
             watch(d.address(), "ask");
