Take only a whole second head for a second response in a body without a length

A body that ends with its connection may speak of the protocol: a status line alone, as prose has it, failed the response. What counts now is a status line with the lines of a head and the empty line behind it. StartTimes walks the names of a list only where the list is whole.

--- a/src/main/java/cobaltrack/sidecar/ResponseAssembler.java
+++ b/src/main/java/cobaltrack/sidecar/ResponseAssembler.java
@@ -37,7 +37,8 @@
 
     /** Interim responses ahead of the final one; more are not meant to end. */
     private static final int MAX_INTERIM_RESPONSES = 8;
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9][ \\r\\n]");
+    private static final Pattern RESPONSE_HEAD = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}[^\\r\\n]{0,64}\\r?\\n"
+            + "([!-9;-~]{1,64}:[^\\r\\n]*\\r?\\n){0,32}\\r?\\n");
 
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private HttpResponse head;
@@ -118,7 +119,7 @@
             head = null;
             return State.INCOMPLETE;
         }
-        if (endsWithConnection && (!streamEnded || holdsStatusLine())) {
+        if (endsWithConnection && (!streamEnded || holdsSecondResponse())) {
             return State.UNUSABLE;
         }
         return State.COMPLETE;
@@ -133,7 +134,7 @@
     }
 
     // Without a length, a second response behind the first would pass for a part of its body.
-    private boolean holdsStatusLine() {
-        return STATUS_LINE.matcher(body.toString(StandardCharsets.ISO_8859_1)).find();
+    private boolean holdsSecondResponse() {
+        return RESPONSE_HEAD.matcher(body.toString(StandardCharsets.ISO_8859_1)).find();
     }
 }
--- a/src/main/java/cobaltrack/sidecar/StartTimes.java
+++ b/src/main/java/cobaltrack/sidecar/StartTimes.java
@@ -2,13 +2,12 @@
 
 import cobaltrack.Contract;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 /**
  * Converts the start of each endpoint, which discovery tells in Unix time, to the module's clock.
@@ -58,16 +57,15 @@
     /** The endpoints of this list for the module, with their starts on its clock. */
     List<Contract.Server> convert(EndpointList list) {
         observeWallClock();
-        List<Contract.Server> converted = new ArrayList<>(list.entries().size());
-        Set<String> named = new HashSet<>();
-        for (EndpointList.Entry entry : list.entries()) {
-            named.add(entry.server().id());
-            converted.add(convert(entry.server()));
-        }
         if (list.whole()) {
-            starts.keySet().retainAll(named);
+            forgetAllBut(list.servers());
         }
-        return converted;
+        return list.servers().stream().map(this::convert).toList();
+    }
+
+    private void forgetAllBut(List<Contract.Server> servers) {
+        Set<String> named = servers.stream().map(Contract.Server::id).collect(Collectors.toSet());
+        starts.keySet().retainAll(named);
     }
 
     private Contract.Server convert(Contract.Server server) {
--- a/src/test/java/cobaltrack/sidecar/ResponseWithoutLengthTest.java
+++ b/src/test/java/cobaltrack/sidecar/ResponseWithoutLengthTest.java
@@ -289,6 +289,12 @@
         assertFailed(askOnce(thenClose(HEAD + "done" + second)));
     }
 
+    @Test
+    void wordsOfTheProtocolInItsBodyAreNoSecondOne() throws Exception {
+        String body = "as HTTP/1.1 200 OK tells\r\nand HTTP/1.1\r\n";
+        assertServed(body, askOnce(thenClose(HEAD + body)));
+    }
+
     @ParameterizedTest
     @CsvSource({"500 Error, false, 502, 1", "500 Error, true, 502, 1",
         "503 Full, false, 200, 2", "503 Full, true, 502, 1"})
