--- a/src/test/java/cobaltrack/sidecar/CrossingTest.java
+++ b/src/test/java/cobaltrack/sidecar/CrossingTest.java
@@ -15,7 +15,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.junit.jupiter.params.provider.ValueSource;
 
 /** Two events in one turn of the loop, or one in the middle of the other, on real sockets. */
 class CrossingTest {
@@ -62,8 +61,8 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"true", "false"})
-    void anAnswerAndTheDeadlineInOneTurnMakeOneAnswer(String cancel) throws Exception {
+    @CsvSource({"true, true", "false, true", "true, false", "false, false"})
+    void anAnswerAndTheDeadlineInOneTurnMakeOneAnswer(String cancel, boolean withLength) throws Exception {
         BlockingQueue<FakeServer.Wire> wires = new LinkedBlockingQueue<>();
         try (FakeServer e = new FakeServer((r, w) -> wires.add(w));
                 TestNode n = new TestNode(config(cancel, e.address()), NioSocketChannel.class);
@@ -72,7 +71,12 @@
             FakeServer.Wire w = wires.take();
             // The loop is kept busy until both are due.
             n.call(() -> {
-                w.ok("done");
+                if (withLength) {
+                    w.ok("done");
+                } else {
+                    w.text("HTTP/1.1 200 OK\r\n\r\ndone");
+                    w.socket().close();
+                }
                 Thread.sleep(1100);
                 return null;
             });
--- /dev/null
+++ b/src/test/java/cobaltrack/sidecar/RandomEndingsTest.java
@@ -0,0 +1,105 @@
+package cobaltrack.sidecar;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Responses without a length in pieces of any size, each of which ends in order or by a reset, to many clients at once:
+ * those that were whole are served with their own body, and no others.
+ */
+class RandomEndingsTest {
+    private static final int CLIENTS = 8;
+    private static final int REQUESTS_EACH = 60;
+    private static final int MAX_PIECES = 5;
+    private static final int MAX_PIECE = 3000;
+
+    private enum Ending { CLOSE, HALF_CLOSE, RESET }
+
+    /** What was sent for one request. */
+    private record Sent(String body, Ending ending) { }
+
+    private final Map<String, Sent> sent = new ConcurrentHashMap<>();
+    private final AtomicInteger served = new AtomicInteger();
+
+    private void answer(long seed, FakeServer.Request request, FakeServer.Wire wire) throws IOException {
+        String id = request.headers().get("request-id");
+        Random random = new Random(seed ^ id.hashCode());
+        List<String> pieces = new ArrayList<>(List.of("HTTP/1.1 200 OK\r\n", "\r\n"));
+        StringBuilder body = new StringBuilder();
+        for (int i = random.nextInt(MAX_PIECES); i > 0; i--) {
+            String piece = id + "x".repeat(random.nextInt(MAX_PIECE));
+            pieces.add(piece);
+            body.append(piece);
+        }
+        Ending ending = Ending.values()[random.nextInt(Ending.values().length)];
+        sent.put(id, new Sent(body.toString(), ending));
+        for (String piece : pieces) {
+            wire.text(piece);
+        }
+        switch (ending) {
+            case CLOSE -> wire.socket().close();
+            case HALF_CLOSE -> wire.socket().shutdownOutput();
+            case RESET -> wire.reset();
+        }
+    }
+
+    private Void ask(TestNode node) throws Exception {
+        try (TestClient client = node.client()) {
+            for (int i = 0; i < REQUESTS_EACH; i++) {
+                String request = TestClient.submit("50");
+                TestClient.Answer answer = client.ask(request);
+                String id = request.replaceAll("(?s).*Request-Id: (\\S+).*", "$1");
+                check(answer, sent.get(id));
+            }
+        }
+        return null;
+    }
+
+    private void check(TestClient.Answer answer, Sent one) {
+        if (one == null) {
+            assertEquals(503, answer.status(), "never sent");
+        } else if (one.ending == Ending.RESET) {
+            assertEquals(502, answer.status());
+        } else {
+            assertEquals(200, answer.status());
+            assertEquals(one.body, answer.body());
+            served.incrementAndGet();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void whatWasWholeIsServedAndNothingElse(long seed) throws Exception {
+        FakeServer.Script script = (r, w) -> answer(seed, r, w);
+        ExecutorService clients = Executors.newFixedThreadPool(CLIENTS);
+        try (FakeServer e = new FakeServer(script); FakeServer f = new FakeServer(script);
+                FakeServer g = new FakeServer(script);
+                TestNode n = new TestNode(FakeServer.refusing(), e.address(), f.address(), g.address())) {
+            List<Future<Void>> asking = new ArrayList<>();
+            for (int i = 0; i < CLIENTS; i++) {
+                asking.add(clients.submit(() -> ask(n)));
+            }
+            for (Future<Void> one : asking) {
+                one.get(FakeServer.PATIENCE_S, TimeUnit.SECONDS);
+            }
+            n.await(() -> n.sidecar.held() == 0);
+            assertTrue(served.get() > 0);
+        } finally {
+            clients.shutdownNow();
+        }
+    }
+}
--- a/src/test/java/cobaltrack/sidecar/ResponseWithoutLengthTest.java
+++ b/src/test/java/cobaltrack/sidecar/ResponseWithoutLengthTest.java
@@ -283,6 +283,16 @@
         assertServed("done", askOnce(thenClose(text)));
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"204 No Content", "304 Not Modified"})
+    void oneThatHasNoBodyIsWholeWithItsHead(String status) throws Exception {
+        try (FakeServer e = new FakeServer((r, w) -> w.text("HTTP/1.1 " + status + "\r\n\r\n"));
+                TestNode n = node(e.address()); TestClient c = n.client()) {
+            assertFailed(c.ask(TestClient.submit("50")));
+            assertEquals(1, e.requests.size());
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {HEAD + "done", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"})
     void aSecondOneBehindItIsNoPartOfIt(String second) throws Exception {
@@ -369,28 +379,6 @@
         }
     }
 
-    @Test
-    void itsEndAndTheDeadlineInOneTurnMakeOneAnswer() throws Exception {
-        BlockingQueue<FakeServer.Wire> wires = new LinkedBlockingQueue<>();
-        try (FakeServer e = new FakeServer((r, w) -> wires.add(w)); TestNode n = node(e.address());
-                TestClient c = n.client()) {
-            c.send(TestClient.submit("1"));
-            FakeServer.Wire w = wires.take();
-            // The loop is kept busy until both are due.
-            n.call(() -> {
-                w.text(HEAD + "done");
-                w.socket().close();
-                Thread.sleep(1100);
-                return null;
-            });
-            int status = c.read().status();
-            assertTrue(status == 200 || status == 502, "answered " + status);
-            n.await(() -> n.sidecar.held() == 0);
-            assertEquals(404, c.ask("GET /other HTTP/1.1\r\nHost: x\r\n\r\n").status());
-            assertEquals(1, e.requests.size());
-        }
-    }
-
     @Test
     void itsEndInADrainIsServedBeforeTheProcessEnds() throws Exception {
         BlockingQueue<FakeServer.Wire> wires = new LinkedBlockingQueue<>();
--- a/src/test/java/cobaltrack/sidecar/TestClient.java
+++ b/src/test/java/cobaltrack/sidecar/TestClient.java
@@ -9,12 +9,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** The application: one connection to a sidecar. */
 final class TestClient implements AutoCloseable {
     record Answer(int status, Map<String, String> headers, String body) { }
 
-    private static int ids;
+    private static final AtomicInteger IDS = new AtomicInteger();
     private final Socket socket;
     private final InputStream in;
 
@@ -41,18 +42,19 @@
     }
 
     static String status(String timeout) {
-        return "GET /api?obj=k HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: r" + ids++
+        return "GET /api?obj=k HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: r" + IDS.getAndIncrement()
                 + "\r\nRequest-Class: status\r\nRequest-Timeout: " + timeout + "\r\n\r\n";
     }
 
     static String submit(String timeout) {
-        return "POST /api HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: r" + ids++
+        return "POST /api HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: r" + IDS.getAndIncrement()
                 + "\r\nRequest-Class: submit\r\nRequest-Timeout: " + timeout + "\r\nContent-Length: 3\r\n\r\nabc";
     }
 
     static String pay(String timeout) {
-        return "POST /api HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: r" + ids++
-                + "\r\nRequest-Class: pay\r\nIdempotency-Key: k" + ids + "\r\nRequest-Timeout: " + timeout
+        int id = IDS.getAndIncrement();
+        return "POST /api HTTP/1.1\r\nHost: origin.svc\r\nRequest-Id: r" + id
+                + "\r\nRequest-Class: pay\r\nIdempotency-Key: k" + id + "\r\nRequest-Timeout: " + timeout
                 + "\r\nContent-Length: 3\r\n\r\nabc";
     }
 
