Look for a second response without a pattern, and link fewer lambdas at a start

Change: ResponseAssembler scans for a second head by hand, StartTimes and two walks in Sidecar are loops, and EndpointList.servers, which a test alone used, is gone.

--- a/src/main/java/cobaltrack/sidecar/EndpointList.java
+++ b/src/main/java/cobaltrack/sidecar/EndpointList.java
@@ -38,10 +38,6 @@
                 List.copyOf(entries));
     }
 
-    List<Contract.Server> servers() {
-        return entries.stream().map(Entry::server).toList();
-    }
-
     private static Entry entry(JsonNode host) {
         String id = host.path("host").asText();
         if (!host.path("host").isTextual() || id.isEmpty()) {
--- a/src/main/java/cobaltrack/sidecar/ResponseAssembler.java
+++ b/src/main/java/cobaltrack/sidecar/ResponseAssembler.java
@@ -12,7 +12,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
-import java.util.regex.Pattern;
 
 /**
  * Assembles one response from decoded parts and judges whether it is whole.
@@ -37,8 +36,11 @@
 
     /** Interim responses ahead of the final one; more are not meant to end. */
     private static final int MAX_INTERIM_RESPONSES = 8;
-    private static final Pattern RESPONSE_HEAD = Pattern.compile("HTTP/1\\.[01] [1-5][0-9]{2}[^\\r\\n]{0,64}\\r?\\n"
-            + "([!-9;-~]{1,64}:[^\\r\\n]*\\r?\\n){0,32}\\r?\\n");
+    private static final String PROTOCOL = "HTTP/1.";
+    /** A status line up to its code: the protocol, a digit, a space and three digits. */
+    private static final int MIN_STATUS_LINE = PROTOCOL.length() + 5;
+    /** Header lines of a second head that are looked at. */
+    private static final int MAX_HEADER_LINES = 32;
 
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private HttpResponse head;
@@ -135,6 +137,42 @@
 
     // Without a length, a second response behind the first would pass for a part of its body.
     private boolean holdsSecondResponse() {
-        return RESPONSE_HEAD.matcher(body.toString(StandardCharsets.ISO_8859_1)).find();
+        String text = body.toString(StandardCharsets.ISO_8859_1);
+        for (int at = text.indexOf(PROTOCOL); at >= 0; at = text.indexOf(PROTOCOL, at + 1)) {
+            if (isHead(text, at)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    // A status line, header lines and an empty line: prose may have the first of these alone.
+    private static boolean isHead(String text, int from) {
+        int end = text.indexOf('\n', from);
+        if (end < from + MIN_STATUS_LINE || !isStatusLine(text, from)) {
+            return false;
+        }
+        for (int i = 0; i <= MAX_HEADER_LINES; i++) {
+            int start = end + 1;
+            end = text.indexOf('\n', start);
+            if (end < 0) {
+                return false;
+            }
+            String line = text.substring(start, end).stripTrailing();
+            if (line.isEmpty()) {
+                return true;
+            }
+            if (line.indexOf(':') <= 0) {
+                return false;
+            }
+        }
+        return false;
+    }
+
+    private static boolean isStatusLine(String text, int from) {
+        int code = from + PROTOCOL.length() + 2;
+        return Character.isDigit(text.charAt(code - 2)) && text.charAt(code - 1) == ' '
+                && Character.isDigit(text.charAt(code)) && Character.isDigit(text.charAt(code + 1))
+                && Character.isDigit(text.charAt(code + 2));
     }
 }
--- a/src/main/java/cobaltrack/sidecar/Sidecar.java
+++ b/src/main/java/cobaltrack/sidecar/Sidecar.java
@@ -279,16 +279,27 @@
             deadline.cancel(false);
             // Guards against sending late what nobody waits for. This is no cancelling, which the settings may
             // rule out: nothing of such an attempt has reached an endpoint, or not all of it.
-            attempts.forEach(Attempt::dropUnwritten);
+            for (Attempt attempt : attempts) {
+                attempt.dropUnwritten();
+            }
             tidy();
         }
 
         private void tidy() {
-            if (over && attempts.stream().allMatch(a -> a.outcome != null) && open.remove(request.id) != null) {
+            if (over && allEnded() && open.remove(request.id) != null) {
                 ids.remove(incoming.id());
             }
         }
 
+        private boolean allEnded() {
+            for (Attempt attempt : attempts) {
+                if (attempt.outcome == null) {
+                    return false;
+                }
+            }
+            return true;
+        }
+
         // Guards against a module that leaves a request without an answer, by a fault say, and against a
         // kill.
         private void endUnserved() {
--- a/src/main/java/cobaltrack/sidecar/StartTimes.java
+++ b/src/main/java/cobaltrack/sidecar/StartTimes.java
@@ -2,12 +2,13 @@
 
 import cobaltrack.Contract;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 
 /**
  * Converts the start of each endpoint, which discovery tells in Unix time, to the module's clock.
@@ -58,13 +59,20 @@
     List<Contract.Server> convert(EndpointList list) {
         observeWallClock();
         if (list.whole()) {
-            forgetAllBut(list.servers());
+            forgetAllBut(list.entries());
         }
-        return list.servers().stream().map(this::convert).toList();
+        List<Contract.Server> converted = new ArrayList<>(list.entries().size());
+        for (EndpointList.Entry entry : list.entries()) {
+            converted.add(convert(entry.server()));
+        }
+        return converted;
     }
 
-    private void forgetAllBut(List<Contract.Server> servers) {
-        Set<String> named = servers.stream().map(Contract.Server::id).collect(Collectors.toSet());
+    private void forgetAllBut(List<EndpointList.Entry> entries) {
+        Set<String> named = new HashSet<>();
+        for (EndpointList.Entry entry : entries) {
+            named.add(entry.server().id());
+        }
         starts.keySet().retainAll(named);
     }
 
--- a/src/test/java/cobaltrack/sidecar/WatchTest.java
+++ b/src/test/java/cobaltrack/sidecar/WatchTest.java
@@ -35,7 +35,7 @@
 
     @Override
     public void list(Contract.ListKind kind, EndpointList list) {
-        heard.add(kind + " " + list.seq() + " " + list.servers().stream().map(Contract.Server::id).toList());
+        heard.add(kind + " " + list.seq() + " " + list.entries().stream().map(e -> e.server().id()).toList());
     }
 
     @Override
