--- a/src/test/java/loadbalancer/lifecycle/DrainDeadline.java
+++ b/src/test/java/loadbalancer/lifecycle/DrainDeadline.java
@@ -4,7 +4,6 @@
 
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +21,11 @@
 
     private DrainDeadline() {}
 
+    /** One case, carried out with a process of its own. */
+    interface Scenario {
+        DrainScenario.Result run(Path directory, String listMode) throws Exception;
+    }
+
     /** Fails with all cases in which requests went to the draining endpoint too late. */
     static void assertInTime(Path directory, String listMode, List<DrainCase> cases) throws Exception {
         assertInTime(directory, listMode, cases, MAX_MILLIS);
@@ -30,6 +34,16 @@
     /** The same with a bound of the caller's. */
     static void assertInTime(Path directory, String listMode, List<DrainCase> cases, double maxMillis)
             throws Exception {
+        Map<String, Scenario> scenarios = new LinkedHashMap<>();
+        for (DrainCase drainCase : cases) {
+            scenarios.put(drainCase.name(), (own, mode) -> new DrainScenario(own, mode, drainCase).run());
+        }
+        assertAllInTime(directory, listMode, scenarios, maxMillis);
+    }
+
+    /** The same for any cases, by their names. */
+    static void assertAllInTime(Path directory, String listMode, Map<String, Scenario> cases, double maxMillis)
+            throws Exception {
         Map<String, String> late = new LinkedHashMap<>();
         measureAll(directory, listMode, cases).forEach((name, result) -> {
             // While the stand-in gets no processor time, discovery can't be reached.
@@ -40,20 +54,21 @@
         assertEquals(Map.of(), late);
     }
 
-    private static Map<String, DrainScenario.Result> measureAll(Path directory, String listMode, List<DrainCase> cases)
-            throws Exception {
+    private static Map<String, DrainScenario.Result> measureAll(
+            Path directory, String listMode, Map<String, Scenario> cases) throws Exception {
         ExecutorService threads = Executors.newCachedThreadPool();
         try {
-            List<Future<DrainScenario.Result>> measured = new ArrayList<>();
-            for (DrainCase drainCase : cases) {
+            Map<String, Future<DrainScenario.Result>> measured = new LinkedHashMap<>();
+            for (Map.Entry<String, Scenario> scenario : cases.entrySet()) {
                 Path own = Files.createDirectories(directory.resolve(listMode + measured.size()));
-                measured.add(threads.submit(new DrainScenario(own, listMode, drainCase)::run));
+                measured.put(scenario.getKey(), threads.submit(() -> scenario.getValue()
+                        .run(own, listMode)));
             }
             Map<String, DrainScenario.Result> results = new LinkedHashMap<>();
-            for (int i = 0; i < cases.size(); i++) {
-                DrainScenario.Result result = measured.get(i).get();
-                results.put(cases.get(i).name(), result);
-                System.out.println(listMode + ", " + cases.get(i).name() + ": " + Math.round(result.millis()) + " ms"
+            for (Map.Entry<String, Future<DrainScenario.Result>> entry : measured.entrySet()) {
+                DrainScenario.Result result = entry.getValue().get();
+                results.put(entry.getKey(), result);
+                System.out.println(listMode + ", " + entry.getKey() + ": " + Math.round(result.millis()) + " ms"
                         + (result.standInMillis() > 0
                                 ? ", stand-in late by " + Math.round(result.standInMillis())
                                 : ""));
--- a/src/test/java/loadbalancer/lifecycle/DrainScenario.java
+++ b/src/test/java/loadbalancer/lifecycle/DrainScenario.java
@@ -131,7 +131,8 @@
                 endpoints.configuration(listen, discovery.address(), SIDECARS_IN_FLEET, listMode, drainCase.seed()));
     }
 
-    private static void awaitReady(TestClient client) throws IOException {
+    /** Waits until the process serves. */
+    static void awaitReady(TestClient client) throws IOException {
         while (client.exchange("GET /health/ready HTTP/1.1\r\n\r\n").status() != 200) {
             EndpointPair.pause();
         }
--- a/src/test/java/loadbalancer/testing/EndpointPair.java
+++ b/src/test/java/loadbalancer/testing/EndpointPair.java
@@ -50,6 +50,16 @@
                 .replace("\"discovery\":\"ask\"", "\"discovery\":\"" + listMode + "\"");
     }
 
+    /** The one that drains later, as it is now. */
+    public EndpointRegistry.Host drainingHost(String health) {
+        return new EndpointRegistry.Host("s0", draining.address(), health, 0);
+    }
+
+    /** The other one. */
+    public EndpointRegistry.Host readyHost() {
+        return new EndpointRegistry.Host("s1", ready.address(), "ready", 0);
+    }
+
     /** The list on which both are ready. */
     public String listBefore() {
         return list(42, "ready");
@@ -87,6 +97,22 @@
         return Math.max(0, lastRequestAtNanos - sinceNanos) / (double) TimeUnit.MILLISECONDS.toNanos(1);
     }
 
+    /**
+     * Sends requests for so long.
+     *
+     * @param sinceNanos the moment from which to count
+     * @return milliseconds from that moment to the last request of the draining endpoint; 0 if there was none after it
+     */
+    public double sendFor(TestClient client, long millis, long sinceNanos) throws IOException {
+        lastRequestAtNanos = sinceNanos;
+        long untilNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (System.nanoTime() < untilNanos) {
+            client.exchange(TestClient.status("5"));
+            pause();
+        }
+        return Math.max(0, lastRequestAtNanos - sinceNanos) / (double) TimeUnit.MILLISECONDS.toNanos(1);
+    }
+
     /** Waits for as long as between two requests. */
     public static void pause() {
         LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(REQUEST_INTERVAL_MILLIS));
