--- a/src/main/java/loadbalancer/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryClient.java
@@ -263,6 +263,9 @@
         for (CallState other : schedule.answered(call.state(), now)) {
             WatchCall left = calls.remove(other);
             if (other.watching()) {
+                if (!other.silent(now)) {
+                    discoveryLog.watchReplaced(call.state().ageMillis(now));
+                }
                 left.close();
             } else {
                 superseded.add(left);
--- a/src/main/java/loadbalancer/discovery/DiscoveryLog.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryLog.java
@@ -31,6 +31,7 @@
 
     private Long loggedVersion;
     private double versionLoggedMillis = Double.NEGATIVE_INFINITY;
+    private double replacementLoggedMillis = Double.NEGATIVE_INFINITY;
 
     DiscoveryLog(Clock clock, ListCurrency currency, Consumer<String> log) {
         this.clock = clock;
@@ -53,6 +54,15 @@
         }
     }
 
+    /** An open watch that can be relied on is closed for a call that was answered this long after it began. */
+    void watchReplaced(double answeredAfterMillis) {
+        double now = clock.now();
+        if (now - replacementLoggedMillis >= OUTAGE_LINE_INTERVAL_MILLIS) {
+            replacementLoggedMillis = now;
+            log.accept("endpoint list watch replaced by a call that was answered after " + seconds(answeredAfterMillis));
+        }
+    }
+
     /**
      * The list in force is current.
      *
