--- a/src/main/java/loadbalancer/discovery/DiscoveryLog.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryLog.java
@@ -59,7 +59,8 @@
         double now = clock.now();
         if (now - replacementLoggedMillis >= OUTAGE_LINE_INTERVAL_MILLIS) {
             replacementLoggedMillis = now;
-            log.accept("endpoint list watch replaced by a call that was answered after " + seconds(answeredAfterMillis));
+            log.accept(
+                    "endpoint list watch replaced by a call that was answered after " + seconds(answeredAfterMillis));
         }
     }
 
