--- a/src/test/java/loadbalancer/testing/EndpointRegistry.java
+++ b/src/test/java/loadbalancer/testing/EndpointRegistry.java
@@ -85,6 +85,11 @@
                 .toList();
     }
 
+    /** Returns those of them that the changes after this version tell. */
+    public synchronized List<Host> retiredAfter(long since) {
+        return changed(since).stream().filter(Host::retired).toList();
+    }
+
     private String json(boolean whole, List<Host> listed) {
         List<String> entries = new ArrayList<>();
         listed.forEach(host -> entries.add(host.json()));
