Keep a drain that a process was told until a later start or its taking back

Cause: migrate cleared RetiredEndpoints, so that the first list of a service that had not learned of the drain made the endpoint ready. The same held for what the known list of a start had said, and for a service that restarted and counted up beyond the old version. A drain is now a fact about an endpoint and its start: RetiredEndpoints keeps by which service (an address, for as long as its versions do not go back) it was told, and only a later start or a newer list of such a service ends it.

--- a/src/main/java/loadbalancer/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryClient.java
@@ -87,9 +87,6 @@
         this.schedule = new CallSchedule(currency, pushed);
         this.parked = new ParkedCalls(clock, currency.callIntervalMillis());
         this.superseded = new SupersededCalls(MAX_SUPERSEDED_INTERVALS * currency.callIntervalMillis());
-        this.version = settings.lastKnownList() == null
-                ? null
-                : settings.lastKnownList().version();
         this.listener = listener;
         this.log = log;
         this.discoveryLog = new DiscoveryLog(clock, currency, log);
@@ -98,9 +95,17 @@
                 .group(loop)
                 .channel(channels)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, NO_CONNECT_TIMEOUT);
+        rememberLastKnown(settings.lastKnownList());
         loop.scheduleAtFixedRate(this::checkCalls, CHECK_INTERVAL_MILLIS, CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    private void rememberLastKnown(EndpointList list) {
+        if (list != null) {
+            version = list.version();
+            retiredEndpoints.apply(list, address, Double.NEGATIVE_INFINITY, clock.now());
+        }
+    }
+
     private void checkCalls() {
         double now = clock.now();
         if (schedule.unattendedSilentWatch(now) != null || schedule.callDue(now)) {
@@ -167,7 +172,6 @@
         }
         address = newAddress;
         version = null;
-        retiredEndpoints.clear();
         backoff.reset();
         currency.moved(clock.now());
         leaveCalls();
@@ -291,7 +295,8 @@
             malformedListLogged = false;
             lineReceived(call, false);
             listener.endpointsReceived(
-                    list.snapshot() ? WatchEvent.SNAPSHOT : WatchEvent.DELTA, retiredEndpoints.apply(list));
+                    list.snapshot() ? WatchEvent.SNAPSHOT : WatchEvent.DELTA,
+                    retiredEndpoints.apply(list, call.address(), call.state().begunAtMillis(), clock.now()));
         }
 
         @Override
--- a/src/main/java/loadbalancer/discovery/RetiredEndpoints.java
+++ b/src/main/java/loadbalancer/discovery/RetiredEndpoints.java
@@ -1,5 +1,6 @@
 package loadbalancer.discovery;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -10,100 +11,152 @@
 import loadbalancer.policy.EndpointStatus;
 
 /**
- * Remembers which endpoints the newest list named as draining or gone. A service may answer with a whole list of an
- * older version: it has been restarted and counts anew, or it lags behind another one at the same address. Its list is
- * taken, for it may be all there is; but an endpoint that drained on the newer one, and has not been restarted since,
- * goes on draining.
+ * Remembers which endpoints this process has been told are draining or gone, with the start at which each was told so.
+ * That is a fact about the endpoint, whoever has said so: it holds across moves of discovery, restarts of the service
+ * and older lists, until the endpoint has been started again, or until a service that has itself named it draining or
+ * gone names it ready in a newer list. Times are in milliseconds.
+ *
+ * <p>A service is an address, for as long as its versions do not go back. A list that is older than another one of its
+ * service, on a call that began after that one came, shows that the service counts anew: it is another service.
  */
 final class RetiredEndpoints {
     /** The one retired first is forgotten. */
     private static final int MAX_RETIRED = 4096;
+    /** Of the services, the one that was called first is forgotten: it has to name an endpoint draining again. */
+    private static final int MAX_SERVICES = 4;
+
+    /**
+     * An endpoint that drains or is gone.
+     *
+     * @param startedAtMillis its start as reported
+     * @param namedBy the numbers of the services that have said so, with the versions of their lists
+     */
+    private record Retirement(double startedAtMillis, Map<Integer, Long> namedBy) {}
 
     private final Consumer<String> log;
-    /** The start times, as reported, of the endpoints that drain or are gone. */
-    private final Map<String, Double> retired = new LinkedHashMap<>();
-    /** The start times, as reported, of those that are ready. */
+    private final Map<InetSocketAddress, ServiceHistory> services = new LinkedHashMap<>();
+    private final Map<String, Retirement> retired = new LinkedHashMap<>();
+    /** The start times, as reported, of the endpoints that are ready. */
     private final Map<String, Double> ready = new HashMap<>();
 
-    private long newestVersion = Long.MIN_VALUE;
+    private int serviceCount;
     private boolean logged;
 
     RetiredEndpoints(Consumer<String> log) {
         this.log = log;
     }
 
-    /** Forgets all: another service may count its versions differently. */
-    void clear() {
-        newestVersion = Long.MIN_VALUE;
-        retired.clear();
-        ready.clear();
+    /**
+     * Returns the list with the endpoints as draining that must not become ready by it, and remembers what it says.
+     *
+     * @param address the service that the list came from
+     * @param callBegunMillis when the call began that brought it
+     */
+    EndpointList apply(EndpointList list, InetSocketAddress address, double callBegunMillis, double nowMillis) {
+        ServiceHistory service = service(address, list, callBegunMillis);
+        if (service.hasNewerThan(list)) {
+            rememberOlder(list, service);
+        } else {
+            if (list.snapshot()) {
+                retireMissing(list, service);
+            }
+            rememberNewest(list, service, nowMillis);
+        }
+        return withoutRevived(list);
     }
 
-    /** Returns the list with the endpoints as draining that must not become ready by it, and remembers it. */
-    EndpointList apply(EndpointList list) {
-        if (list.snapshot() && list.version() < newestVersion) {
-            return withoutRevived(list);
+    private ServiceHistory service(InetSocketAddress address, EndpointList list, double callBegunMillis) {
+        ServiceHistory known = services.get(address);
+        if (known != null && !known.countsAnew(list, callBegunMillis)) {
+            return known;
         }
-        newestVersion = Math.max(newestVersion, list.version());
-        logged = false;
-        remember(list);
-        return list;
+        ServiceHistory service = new ServiceHistory(serviceCount++);
+        services.remove(address);
+        services.put(address, service);
+        if (services.size() > MAX_SERVICES) {
+            services.remove(services.keySet().iterator().next());
+        }
+        return service;
     }
 
-    private EndpointList withoutRevived(EndpointList list) {
-        List<EndpointList.Entry> entries = new ArrayList<>(list.entries().size());
-        int kept = 0;
+    // A newer list of the service may have taken the drain back.
+    private void rememberOlder(EndpointList list, ServiceHistory service) {
         for (EndpointList.Entry entry : list.entries()) {
-            boolean revived = isRevived(entry.endpoint());
-            entries.add(revived ? entry.draining() : entry);
-            kept += revived ? 1 : 0;
-        }
-        if (!logged) {
-            logged = true;
-            log.accept("endpoint list goes back from version " + newestVersion + " to " + list.version() + "; " + kept
-                    + " endpoints go on draining");
+            Endpoint endpoint = entry.endpoint();
+            if (endpoint.status() != EndpointStatus.READY && !ready.containsKey(endpoint.id())) {
+                retire(endpoint.id(), endpoint.startedAtMillis(), service, list.version());
+            }
         }
-        return new EndpointList(list.version(), true, entries);
     }
 
-    private boolean isRevived(Endpoint endpoint) {
-        Double retiredStart = retired.get(endpoint.id());
-        return endpoint.status() == EndpointStatus.READY
-                && retiredStart != null
-                && retiredStart == endpoint.startedAtMillis();
+    private void retireMissing(EndpointList snapshot, ServiceHistory service) {
+        Map<String, Double> missing = new HashMap<>(ready);
+        for (EndpointList.Entry entry : snapshot.entries()) {
+            missing.remove(entry.endpoint().id());
+        }
+        missing.forEach((id, startMillis) -> retire(id, startMillis, service, snapshot.version()));
     }
 
-    private void remember(EndpointList list) {
-        if (list.snapshot()) {
-            retireMissing(list);
-        }
+    private void rememberNewest(EndpointList list, ServiceHistory service, double nowMillis) {
         for (EndpointList.Entry entry : list.entries()) {
             Endpoint endpoint = entry.endpoint();
-            if (endpoint.status() == EndpointStatus.READY) {
-                ready.put(endpoint.id(), endpoint.startedAtMillis());
+            if (endpoint.status() != EndpointStatus.READY) {
+                // A list need not say since when an endpoint that is gone had run.
+                retire(endpoint.id(), service.lastNamedStartMillis(endpoint), service, list.version());
+            } else if (mayBecomeReady(endpoint, service, list.version())) {
                 retired.remove(endpoint.id());
-            } else {
-                retire(endpoint.id(), ready.getOrDefault(endpoint.id(), endpoint.startedAtMillis()));
+                ready.put(endpoint.id(), endpoint.startedAtMillis());
             }
         }
+        service.remember(list, nowMillis);
     }
 
-    private void retireMissing(EndpointList snapshot) {
-        Map<String, Double> missing = new HashMap<>(ready);
-        ready.clear();
-        for (EndpointList.Entry entry : snapshot.entries()) {
-            missing.remove(entry.endpoint().id());
-        }
-        for (Map.Entry<String, Double> endpoint : missing.entrySet()) {
-            retire(endpoint.getKey(), endpoint.getValue());
+    private boolean mayBecomeReady(Endpoint endpoint, ServiceHistory service, long version) {
+        if (!isRetired(endpoint)) {
+            return true;
         }
+        Long namedVersion = retired.get(endpoint.id()).namedBy.get(service.number());
+        return namedVersion != null && namedVersion < version;
+    }
+
+    private boolean isRetired(Endpoint endpoint) {
+        Retirement retirement = retired.get(endpoint.id());
+        return retirement != null && endpoint.startedAtMillis() <= retirement.startedAtMillis;
     }
 
-    private void retire(String id, double startedAtMillis) {
+    private void retire(String id, double startedAtMillis, ServiceHistory service, long version) {
+        Retirement known = retired.get(id);
+        if (known != null && startedAtMillis < known.startedAtMillis) {
+            return;
+        }
+        if (known == null || startedAtMillis > known.startedAtMillis) {
+            known = new Retirement(startedAtMillis, new HashMap<>());
+            retired.put(id, known);
+        }
         ready.remove(id);
-        retired.putIfAbsent(id, startedAtMillis);
+        known.namedBy.merge(service.number(), version, Math::max);
         if (retired.size() > MAX_RETIRED) {
             retired.remove(retired.keySet().iterator().next());
         }
     }
+
+    private EndpointList withoutRevived(EndpointList list) {
+        List<EndpointList.Entry> entries = new ArrayList<>(list.entries().size());
+        int kept = 0;
+        for (EndpointList.Entry entry : list.entries()) {
+            boolean revived = entry.endpoint().status() == EndpointStatus.READY && isRetired(entry.endpoint());
+            entries.add(revived ? entry.draining() : entry);
+            kept += revived ? 1 : 0;
+        }
+        if (kept == 0) {
+            logged = false;
+            return list;
+        }
+        if (!logged) {
+            logged = true;
+            log.accept("endpoint list version " + list.version() + " names " + kept
+                    + " endpoints as ready that are known to drain or to be gone; they go on draining");
+        }
+        return new EndpointList(list.version(), list.snapshot(), entries);
+    }
 }
