--- a/src/main/java/loadbalancer/discovery/CallSchedule.java
+++ b/src/main/java/loadbalancer/discovery/CallSchedule.java
@@ -61,6 +61,11 @@
         return !waiting.isEmpty() && nowMillis >= nextCallAtMillis;
     }
 
+    /** Returns the open watch, or null. */
+    CallState watch() {
+        return watch;
+    }
+
     /** Returns the call to give up before another begins, or null if there is room. */
     CallState replaceable(double nowMillis) {
         if (waiting.size() < MAX_WAITING_CALLS) {
@@ -87,7 +92,7 @@
         return call;
     }
 
-    /** A call that waited without being read goes on. */
+    /** A call at an address that is wanted again waits here again. */
     void resume(CallState call, double nowMillis) {
         waiting.add(0, call);
         scheduleNext(nowMillis);
@@ -108,7 +113,7 @@
         ended(call);
     }
 
-    /** A call has ended, or is not read for a time. */
+    /** A call has ended, or is no longer waited for. */
     void ended(CallState call) {
         waiting.remove(call);
         if (call == watch) {
--- a/src/main/java/loadbalancer/discovery/CallState.java
+++ b/src/main/java/loadbalancer/discovery/CallState.java
@@ -12,7 +12,7 @@
     private final double random;
 
     private double lastBytesAtMillis;
-    private double pausedMillis;
+    private CallRole role = CallRole.WAITING;
     private boolean connected;
     private boolean responseBegun;
     /** Null while the call waits for its first list. */
@@ -34,17 +34,25 @@
         lastBytesAtMillis = nowMillis;
     }
 
-    /** For so long nothing was read. */
-    void addPause(double millis) {
-        pausedMillis += millis;
+    CallRole role() {
+        return role;
     }
 
-    /** The call has become an open watch. */
+    void setRole(CallRole newRole) {
+        role = newRole;
+    }
+
+    /** Returns true if nothing waits for this call any more. */
+    boolean unattended() {
+        return role == CallRole.SUPERSEDED || role == CallRole.ABANDONED;
+    }
+
+    /** The call has been answered. */
     void markWatching(double nowMillis) {
-        evidence = new WatchEvidence(nowMillis, pausedMillis, random);
+        evidence = new WatchEvidence(nowMillis, 0, random);
     }
 
-    /** Returns true if the call is an open watch, false while it waits for its first list. */
+    /** Returns true if the call has been answered, false while it waits for its first list. */
     boolean watching() {
         return evidence != null;
     }
--- a/src/main/java/loadbalancer/discovery/EndpointList.java
+++ b/src/main/java/loadbalancer/discovery/EndpointList.java
@@ -28,6 +28,13 @@
      * @param address its address, or null if it has been removed
      */
     public record Entry(Endpoint endpoint, SocketAddress address) {
+        /** Returns an endpoint that has been removed, of which nothing else is known. */
+        static Entry removed(String id, double startedAtMillis) {
+            return new Entry(
+                    new Endpoint(id, EndpointStatus.REMOVED, DEFAULT_CAPACITY_WEIGHT, "", NO_CELL, startedAtMillis),
+                    null);
+        }
+
         /** Returns the same endpoint as one that drains. */
         Entry draining() {
             return new Entry(endpoint.withStatus(EndpointStatus.DRAINING), address);
--- a/src/main/java/loadbalancer/discovery/RetiredEndpoints.java
+++ b/src/main/java/loadbalancer/discovery/RetiredEndpoints.java
@@ -58,13 +58,43 @@
             rememberOlder(list, service);
         } else {
             if (list.snapshot()) {
-                retireMissing(list, service);
+                retireMissing(ready, list, service);
             }
             rememberNewest(list, service, nowMillis);
         }
         return withoutRevived(list);
     }
 
+    /**
+     * Remembers which endpoints drain or are gone by a list that is not used otherwise, and returns them. One that it
+     * leaves out is gone only if its service has named it before: it may not know of others yet.
+     */
+    List<EndpointList.Entry> applyRetirements(
+            EndpointList list, InetSocketAddress address, double callBegunMillis, double nowMillis) {
+        ServiceHistory service = service(address, list, callBegunMillis);
+        List<EndpointList.Entry> retirements = new ArrayList<>();
+        if (service.hasNewerThan(list)) {
+            rememberOlder(list, service);
+        } else {
+            if (list.snapshot()) {
+                retireMissing(service.ready(), list, service).forEach((id, startMillis) -> {
+                    if (isRetired(id, startMillis)) {
+                        retirements.add(EndpointList.Entry.removed(id, startMillis));
+                    }
+                });
+            }
+            rememberRetired(list, service);
+            service.remember(list, nowMillis);
+        }
+        for (EndpointList.Entry entry : list.entries()) {
+            Endpoint endpoint = entry.endpoint();
+            if (endpoint.status() != EndpointStatus.READY && isRetired(endpoint.id(), endpoint.startedAtMillis())) {
+                retirements.add(entry);
+            }
+        }
+        return retirements;
+    }
+
     private ServiceHistory service(InetSocketAddress address, EndpointList list, double callBegunMillis) {
         ServiceHistory known = services.get(address);
         if (known != null && !known.countsAnew(list, callBegunMillis)) {
@@ -89,21 +119,22 @@
         }
     }
 
-    private void retireMissing(EndpointList snapshot, ServiceHistory service) {
-        Map<String, Double> missing = new HashMap<>(ready);
+    /** Returns the endpoints that were ready before and that a snapshot leaves out, with their starts. */
+    private Map<String, Double> retireMissing(
+            Map<String, Double> before, EndpointList snapshot, ServiceHistory service) {
+        Map<String, Double> missing = new HashMap<>(before);
         for (EndpointList.Entry entry : snapshot.entries()) {
             missing.remove(entry.endpoint().id());
         }
         missing.forEach((id, startMillis) -> retire(id, startMillis, service, snapshot.version()));
+        return missing;
     }
 
     private void rememberNewest(EndpointList list, ServiceHistory service, double nowMillis) {
+        rememberRetired(list, service);
         for (EndpointList.Entry entry : list.entries()) {
             Endpoint endpoint = entry.endpoint();
-            if (endpoint.status() != EndpointStatus.READY) {
-                // A list need not say since when an endpoint that is gone had run.
-                retire(endpoint.id(), service.lastNamedStartMillis(endpoint), service, list.version());
-            } else if (mayBecomeReady(endpoint, service, list.version())) {
+            if (endpoint.status() == EndpointStatus.READY && mayBecomeReady(endpoint, service, list.version())) {
                 retired.remove(endpoint.id());
                 ready.put(endpoint.id(), endpoint.startedAtMillis());
             }
@@ -111,22 +142,34 @@
         service.remember(list, nowMillis);
     }
 
+    private void rememberRetired(EndpointList list, ServiceHistory service) {
+        for (EndpointList.Entry entry : list.entries()) {
+            Endpoint endpoint = entry.endpoint();
+            if (endpoint.status() != EndpointStatus.READY) {
+                // A list need not say since when an endpoint that is gone had run.
+                retire(endpoint.id(), service.lastNamedStartMillis(endpoint), service, list.version());
+            }
+        }
+    }
+
     private boolean mayBecomeReady(Endpoint endpoint, ServiceHistory service, long version) {
-        if (!isRetired(endpoint)) {
+        if (!isRetired(endpoint.id(), endpoint.startedAtMillis())) {
             return true;
         }
         Long namedVersion = retired.get(endpoint.id()).namedBy.get(service.number());
         return namedVersion != null && namedVersion < version;
     }
 
-    private boolean isRetired(Endpoint endpoint) {
-        Retirement retirement = retired.get(endpoint.id());
-        return retirement != null && endpoint.startedAtMillis() <= retirement.startedAtMillis;
+    private boolean isRetired(String id, double startedAtMillis) {
+        Retirement retirement = retired.get(id);
+        return retirement != null && startedAtMillis <= retirement.startedAtMillis;
     }
 
     private void retire(String id, double startedAtMillis, ServiceHistory service, long version) {
         Retirement known = retired.get(id);
-        if (known != null && startedAtMillis < known.startedAtMillis) {
+        boolean ofEarlierStart = startedAtMillis < ready.getOrDefault(id, startedAtMillis)
+                || known != null && startedAtMillis < known.startedAtMillis;
+        if (ofEarlierStart) {
             return;
         }
         if (known == null || startedAtMillis > known.startedAtMillis) {
@@ -144,7 +187,9 @@
         List<EndpointList.Entry> entries = new ArrayList<>(list.entries().size());
         int kept = 0;
         for (EndpointList.Entry entry : list.entries()) {
-            boolean revived = entry.endpoint().status() == EndpointStatus.READY && isRetired(entry.endpoint());
+            Endpoint endpoint = entry.endpoint();
+            boolean revived =
+                    endpoint.status() == EndpointStatus.READY && isRetired(endpoint.id(), endpoint.startedAtMillis());
             entries.add(revived ? entry.draining() : entry);
             kept += revived ? 1 : 0;
         }
--- a/src/main/java/loadbalancer/discovery/WatchCall.java
+++ b/src/main/java/loadbalancer/discovery/WatchCall.java
@@ -61,7 +61,6 @@
     private final CallState state;
     private Channel channel;
     private boolean closed;
-    private double pausedAtMillis;
 
     /** A call that is not connected. {@code knownVersion} is the version to receive changes of, or null for all. */
     WatchCall(
@@ -112,27 +111,6 @@
         return address;
     }
 
-    /** Reads nothing until {@link #resume}. */
-    void pause() {
-        pausedAtMillis = clock.now();
-        if (channel.isRegistered()) {
-            channel.config().setAutoRead(false);
-        }
-    }
-
-    /** Returns since when nothing is read, in milliseconds by the clock. */
-    double pausedAtMillis() {
-        return pausedAtMillis;
-    }
-
-    /** Goes on reading, with what has come meanwhile. */
-    void resume() {
-        state.addPause(clock.now() - pausedAtMillis);
-        if (channel.isRegistered()) {
-            channel.config().setAutoRead(true);
-        }
-    }
-
     /** Closes the connection. */
     void close() {
         closed = true;
--- a/src/main/java/loadbalancer/policy/LossThrottlingPolicy.java
+++ b/src/main/java/loadbalancer/policy/LossThrottlingPolicy.java
@@ -116,6 +116,7 @@
             case FAILED -> polls.failed(nowMillis);
             case REJECTED -> polls.rejected(nowMillis);
             case STALE_SNAPSHOT -> updateEndpoints(nowMillis, true, entries);
+            case RETIREMENTS -> updateEndpoints(nowMillis, false, entries);
             case SNAPSHOT, DELTA -> {
                 // A watch that has been silent brings changes late, and says nothing of how current the list is.
                 if (currency.reliable()) {
--- a/src/main/java/loadbalancer/policy/WatchEvent.java
+++ b/src/main/java/loadbalancer/policy/WatchEvent.java
@@ -8,6 +8,8 @@
     SNAPSHOT,
     /** Every endpoint as last known at start, perhaps long out of date. */
     STALE_SNAPSHOT,
+    /** Only endpoints that drain or are gone, by a list that is not used otherwise. */
+    RETIREMENTS,
     /** No entries: a call failed or the watch broke. The last known list stays in use. */
     FAILED,
     /** No entries: the service rejected a call, perhaps since it is overloaded. The last known list stays in use. */
--- a/src/main/java/loadbalancer/proxy/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/RequestDispatcher.java
@@ -119,7 +119,7 @@
         pool.update(list);
         List<Endpoint> endpoints = startTimes.convert(list);
         events.enqueuePolicyEvent(() -> policy.endpointsChanged(clock.now(), kind, endpoints));
-        if (kind != WatchEvent.STALE_SNAPSHOT) {
+        if (kind == WatchEvent.SNAPSHOT || kind == WatchEvent.DELTA) {
             listReceived = true;
             onFirstList.run();
             onFirstList = () -> {};
--- a/src/test/java/loadbalancer/discovery/DiscoveryClientFixture.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryClientFixture.java
@@ -88,6 +88,16 @@
                 .get();
     }
 
+    /** Moves discovery in a turn of the loop in which this is done first, so that it is unread then. */
+    void blockLoopAndMigrate(FakeServer service, Meanwhile meanwhile) throws Exception {
+        loop.submit(() -> {
+                    meanwhile.run();
+                    client.migrate(SocketAddresses.parse(service.address()));
+                    return null;
+                })
+                .get();
+    }
+
     double nextBackoffMillis() throws Exception {
         return loop.submit(() -> client.backoff().nextDelayMillis()).get();
     }
--- a/src/test/java/loadbalancer/discovery/RetiredEndpointsTest.java
+++ b/src/test/java/loadbalancer/discovery/RetiredEndpointsTest.java
@@ -117,4 +117,39 @@
         assertEquals("[DRAINING]", applied(45, false, host("draining", 7)));
         assertEquals("[READY]", applied(46, false, host("ready", 7)));
     }
+
+    private List<String> retiredBy(InetSocketAddress service, long version, boolean snapshot, String... hosts)
+            throws Exception {
+        String json = TestSidecar.list(version, snapshot, hosts);
+        EndpointList list = EndpointList.parse(new ObjectMapper().readTree(json));
+        return retired.applyRetirements(list, service, now, now).stream()
+                .map(entry -> entry.endpoint().id() + " " + entry.endpoint().status())
+                .toList();
+    }
+
+    // Guards against a drain that a call to an address left behind has brought, and that is not heeded.
+    @Test
+    void serviceLeftBehindRetiresEndpoints() throws Exception {
+        applied(43, true, host("ready", 7));
+        applied(OTHER_SERVICE, now, 90, true, host("ready", 7));
+        assertEquals(List.of("a DRAINING"), retiredBy(FIRST_SERVICE, 44, false, host("draining", 7)));
+        assertEquals("[DRAINING]", applied(OTHER_SERVICE, now, 91, false, host("ready", 7)));
+    }
+
+    @Test
+    void serviceLeftBehindRetiresEndpointThatItLeavesOut() throws Exception {
+        applied(43, true, host("ready", 7));
+        assertEquals(List.of("a REMOVED"), retiredBy(FIRST_SERVICE, 44, true));
+        assertEquals("[DRAINING]", applied(OTHER_SERVICE, now, 91, false, host("ready", 7)));
+    }
+
+    // A service that was left behind may never have learned of an endpoint, or of its last start.
+    @Test
+    void serviceLeftBehindRetiresNoEndpointThatItNeverNamed() throws Exception {
+        applied(43, true);
+        applied(OTHER_SERVICE, now, 90, true, host("ready", 7));
+        assertEquals(List.of(), retiredBy(FIRST_SERVICE, 44, true));
+        assertEquals(List.of(), retiredBy(FIRST_SERVICE, 45, false, host("draining", 6)));
+        assertEquals("[READY]", applied(OTHER_SERVICE, now, 91, false, host("ready", 7)));
+    }
 }
