Let no late answer take the watch from one whose evidence is better

Cause: CallSchedule.answered gave the watch to whichever call was answered last, since to a superseded one too, and closed the prompt watch; ListCurrency kept the better moment, so nothing noticed. WatchEvidence now bounds the delay of each line: the first list was written after its call was sent, an empty line an interval after the one before, a list perhaps at once. A call becomes the watch if there is none to rely on, if it brings more, or if it was late by less than the watch may be. The list counts as current as of the earliest moment at which its line may have been written.

--- a/src/main/java/loadbalancer/discovery/CallSchedule.java
+++ b/src/main/java/loadbalancer/discovery/CallSchedule.java
@@ -61,6 +61,18 @@
         return !waiting.isEmpty() && nowMillis >= nextCallAtMillis;
     }
 
+    /**
+     * A call has brought its first list; returns true if it has to be the watch from now on.
+     *
+     * @param newer true if its list is newer than that of the watch
+     */
+    boolean better(CallState call, boolean newer, double nowMillis) {
+        return watch == null
+                || watch.silent(nowMillis)
+                || newer
+                || nowMillis - call.sentMillis() < watch.evidence().delayBoundMillis();
+    }
+
     /** Returns the open watch, or null. */
     CallState watch() {
         return watch;
--- a/src/main/java/loadbalancer/discovery/CallState.java
+++ b/src/main/java/loadbalancer/discovery/CallState.java
@@ -12,6 +12,7 @@
     private final double random;
 
     private double lastBytesAtMillis;
+    private double sentMillis;
     private CallRole role = CallRole.WAITING;
     private boolean connected;
     private boolean responseBegun;
@@ -22,10 +23,13 @@
         this.begunAtMillis = begunAtMillis;
         this.random = random;
         this.lastBytesAtMillis = begunAtMillis;
+        this.sentMillis = begunAtMillis;
     }
 
-    void markConnected() {
+    /** The call is sent. */
+    void markConnected(double nowMillis) {
         connected = true;
+        sentMillis = nowMillis;
     }
 
     /** Bytes of a response came, whether they complete anything or not. */
@@ -49,7 +53,7 @@
 
     /** The call has been answered. */
     void markWatching(double nowMillis) {
-        evidence = new WatchEvidence(nowMillis, 0, random);
+        evidence = new WatchEvidence(nowMillis, sentMillis, random);
     }
 
     /** Returns true if the call has been answered, false while it waits for its first list. */
@@ -72,6 +76,11 @@
         return !watching() && responseBegun && nowMillis - lastBytesAtMillis > STALL_MILLIS;
     }
 
+    /** Returns when it was sent, or when it began as long as it is not connected: its answer is as of then or later. */
+    double sentMillis() {
+        return sentMillis;
+    }
+
     double begunAtMillis() {
         return begunAtMillis;
     }
--- a/src/main/java/loadbalancer/discovery/DiscoveryCalls.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryCalls.java
@@ -114,10 +114,20 @@
         }
     }
 
-    /** A call has brought its first list, and is the watch from now on. */
-    void answered(WatchCall call) {
+    /**
+     * A call has brought its first list. It becomes the watch if there is none that can be relied on, if it has brought
+     * more, or if it was late by less than the watch may be; else it is closed.
+     *
+     * @param newer true if its list is newer than the one in force
+     */
+    void answered(WatchCall call, boolean newer) {
         double now = clock.now();
         CallState state = call.state();
+        if (!schedule.better(state, newer, now)) {
+            state.markWatching(now);
+            close(call);
+            return;
+        }
         logReplacement(state, now);
         for (CallState other : schedule.answered(state, now)) {
             if (other.watching()) {
--- a/src/main/java/loadbalancer/discovery/EndpointListReceiver.java
+++ b/src/main/java/loadbalancer/discovery/EndpointListReceiver.java
@@ -92,10 +92,11 @@
             version = null;
             throw new EndpointListException("the version goes back; a snapshot is requested");
         }
+        boolean newer = version != null && list.version() > version;
         version = list.version();
         listCameMillis = clock.now();
         malformedListLogged = false;
-        lineReceived(call, false);
+        lineReceived(call, false, newer);
         listListener.endpointsReceived(
                 list.snapshot() ? WatchEvent.SNAPSHOT : WatchEvent.DELTA,
                 retiredEndpoints.apply(list, call.address(), state.begunAtMillis(), clock.now()));
@@ -119,9 +120,9 @@
         if (call.state().role() == CallRole.ABANDONED || closedAsOutdated(call, call.knownVersion())) {
             return;
         }
-        lineReceived(call, emptyLines > 0);
+        lineReceived(call, emptyLines > 0, false);
         for (int i = 1; i < emptyLines; i++) {
-            lineReceived(call, true);
+            lineReceived(call, true, false);
         }
     }
 
@@ -138,14 +139,14 @@
     }
 
     /** A line of a call came: its first one answers the call, a further one shows that the watch is alive. */
-    private void lineReceived(WatchCall call, boolean empty) {
+    private void lineReceived(WatchCall call, boolean empty, boolean newer) {
         CallState state = call.state();
         if (!state.watching()) {
             callListener.callAnswered();
-            currency.answered(state.begunAtMillis());
-            calls.answered(call);
+            currency.answered(state.sentMillis());
+            calls.answered(call, newer);
         } else if (state.evidence().lineReceived(clock.now(), empty)) {
-            currency.confirmed(state.evidence().writtenAtMillis());
+            currency.confirmed(state.evidence().earliestWrittenMillis());
         }
         if (currency.reliable()) {
             discoveryLog.listCurrent(version);
--- a/src/main/java/loadbalancer/discovery/WatchCall.java
+++ b/src/main/java/loadbalancer/discovery/WatchCall.java
@@ -122,7 +122,7 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        state.markConnected();
+        state.markConnected(clock.now());
         String uri = PATH + "?watch=1" + (knownVersion == null ? "" : "&after=" + knownVersion);
         DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
         request.headers().set(HttpHeaderNames.HOST, NetUtil.toSocketAddressString(address));
--- a/src/test/java/loadbalancer/discovery/CallScheduleTest.java
+++ b/src/test/java/loadbalancer/discovery/CallScheduleTest.java
@@ -151,4 +151,29 @@
         assertSame(first, schedule.replaceable(3 * INTERVAL_MILLIS));
         assertEquals(2, schedule.answered(second, 3 * INTERVAL_MILLIS).size());
     }
+
+    private CallState watchAnsweredAfter(double delayMillis) {
+        CallState watch = begin(0);
+        schedule.answered(watch, delayMillis);
+        return watch;
+    }
+
+    // Guards against an old call that is answered late, and takes the watch over from a prompt one.
+    @Test
+    void lateAnswerIsNoBetterThanPromptWatch() {
+        CallState late = begin(0);
+        CallState prompt = begin(2200);
+        schedule.answered(prompt, 2210);
+        assertFalse(schedule.better(late, false, 4000));
+        assertTrue(schedule.better(late, true, 4000));
+    }
+
+    @Test
+    void promptAnswerIsBetterThanLateOrSilentWatch() {
+        watchAnsweredAfter(900);
+        CallState call = begin(1000);
+        assertTrue(schedule.better(call, false, 1500));
+        assertFalse(schedule.better(call, false, 2000));
+        assertTrue(schedule.better(call, false, 9000));
+    }
 }
--- a/src/test/java/loadbalancer/discovery/DiscoveryCallsTest.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryCallsTest.java
@@ -107,6 +107,25 @@
         }
     }
 
+    // Guards against an old call that is answered late, and takes the watch over from a prompt one.
+    @Test
+    void keepsPromptWatchWhenOlderCallIsAnsweredLate() throws Exception {
+        try (FakeServer service = fixture.newService()) {
+            fixture.start(service, "ask");
+            FakeServer.Connection late = fixture.nextCall();
+            fixture.advance(2200);
+            FakeServer.Connection prompt = fixture.nextCall();
+            prompt.text(HEAD + chunk(list(50, true, "a")));
+            assertEquals("SNAPSHOT 50 [a]", fixture.nextEvent());
+            late.text(HEAD + chunk(list(50, true, "a")));
+            assertEquals("SNAPSHOT 50 [a]", fixture.nextEvent());
+            service.awaitClose();
+            assertTrue(late.socket().isClosed());
+            prompt.text(chunk(list(51, false, "b")));
+            assertEquals("DELTA 51 [b]", fixture.nextEvent());
+        }
+    }
+
     // Guards against an answer that was held up, and takes the list back to what it was.
     @Test
     void closesCallWhoseAnswerIsOlderThanTheWatch() throws Exception {
