Confirm a watch by one call where nothing bounds the delay of its lines

Callers saw: requests to a draining endpoint for 8.6 to 18.9 s of 6.5 while discovery told changes steadily over a path slower than that, polled and pushed. Cause: a growing delay was seen by empty lines alone, or lists over 2 s apart; no empty line comes while lists do, so the watch was never silent and one call was all that was made in 34 s. A path late from the beginning was never checked either. WatchConfirmation begins one call beside a watch whose path is late by over an eighth of the term (a local agent: the first interval of its calls), or whose list is not known to be complete as of half a term ago. An empty line a whole interval after the line before has met nothing on its way, so a single change costs no call. What brings more becomes the watch. Fleets of up to 8: one call a term, sooner if a call found the watch late. Larger ones are slower on purpose: the same changes make all watches doubtful, and a service that needs a term for one call of each must not be crowded.

--- a/src/main/java/loadbalancer/discovery/CallSchedule.java
+++ b/src/main/java/loadbalancer/discovery/CallSchedule.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import loadbalancer.policy.ListCurrency;
+import loadbalancer.policy.WatchConfirmation;
 
 /**
  * Decides when another call to discovery begins beside one that has not been answered, and which call is given up for
@@ -23,6 +24,7 @@
     private static final double MAX_PATIENCE_MILLIS = 20_000;
 
     private final ListCurrency currency;
+    private final WatchConfirmation confirmation;
     /** True if calls go to a local agent, which serves nobody else. */
     private final boolean localAgent;
 
@@ -35,8 +37,15 @@
     private int unansweredCalls;
     private double patienceMillis;
 
-    CallSchedule(ListCurrency currency, boolean localAgent) {
+    /**
+     * No calls.
+     *
+     * @param localAgent true if calls go to a local agent
+     * @param sidecars how many call the same service
+     */
+    CallSchedule(ListCurrency currency, boolean localAgent, int sidecars) {
         this.currency = currency;
+        this.confirmation = new WatchConfirmation(currency, localAgent, sidecars);
         this.localAgent = localAgent;
         resetPatience();
     }
@@ -58,7 +67,26 @@
 
     /** Returns true if another call has to begin since none of those that wait has been answered. */
     boolean callDue(double nowMillis) {
-        return !waiting.isEmpty() && nowMillis >= nextCallAtMillis;
+        double dueMillis = waitsBesideReliableWatch(nowMillis)
+                ? Math.max(nextCallAtMillis, confirmation.earliestMillis())
+                : nextCallAtMillis;
+        return !waiting.isEmpty() && nowMillis >= dueMillis;
+    }
+
+    private boolean waitsBesideReliableWatch(double nowMillis) {
+        return watch != null && !watch.silent(nowMillis) && confirmation.mayWaitForAnswer(nowMillis, watch.evidence());
+    }
+
+    /**
+     * Returns true if a call has to begin beside the open watch, whose lines may be late.
+     *
+     * @param random from 0 to 1
+     */
+    boolean confirmationDue(double nowMillis, double random) {
+        return waiting.isEmpty()
+                && watch != null
+                && !watch.silent(nowMillis)
+                && confirmation.due(nowMillis, watch.evidence(), random);
     }
 
     /**
@@ -67,10 +95,20 @@
      * @param newer true if its list is newer than that of the watch
      */
     boolean better(CallState call, boolean newer, double nowMillis) {
-        return watch == null
-                || watch.silent(nowMillis)
-                || newer
-                || nowMillis - call.sentMillis() < watch.evidence().delayBoundMillis();
+        if (watch == null || watch.silent(nowMillis)) {
+            return true;
+        }
+        if (newer) {
+            confirmation.watchFoundLate(call.sentMillis());
+        }
+        return newer || nowMillis - call.sentMillis() < watch.evidence().delayBoundMillis();
+    }
+
+    /** Lets the calls that wait count no longer, and returns them. */
+    List<CallState> supersedeWaiting() {
+        List<CallState> others = new ArrayList<>(waiting);
+        waiting.clear();
+        return others;
     }
 
     /** Returns the open watch, or null. */
@@ -100,6 +138,9 @@
     CallState begin(double nowMillis, double random) {
         CallState call = new CallState(nowMillis, random);
         waiting.add(call);
+        if (watch != null && !watch.silent(nowMillis)) {
+            confirmation.begun(nowMillis);
+        }
         scheduleNext(nowMillis);
         return call;
     }
@@ -135,12 +176,11 @@
 
     /** A call brought its first list, and is the open watch now; returns the others, which count no longer. */
     List<CallState> answered(CallState call, double nowMillis) {
-        List<CallState> others = new ArrayList<>(waiting);
-        others.remove(call);
+        waiting.remove(call);
+        List<CallState> others = supersedeWaiting();
         if (watch != null) {
             others.add(watch);
         }
-        waiting.clear();
         watch = call;
         call.markWatching(nowMillis);
         resetPatience();
--- a/src/main/java/loadbalancer/discovery/DiscoveryCalls.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryCalls.java
@@ -126,19 +126,22 @@
         if (!schedule.better(state, newer, now)) {
             state.markWatching(now);
             close(call);
+            schedule.supersedeWaiting().forEach(this::supersede);
             return;
         }
         logReplacement(state, now);
-        for (CallState other : schedule.answered(state, now)) {
-            if (other.watching()) {
-                close(find(other));
-            } else {
-                leave(other, CallRole.SUPERSEDED);
-            }
-        }
+        schedule.answered(state, now).forEach(this::supersede);
         state.setRole(CallRole.WATCH);
     }
 
+    private void supersede(CallState call) {
+        if (call.watching()) {
+            close(find(call));
+        } else {
+            leave(call, CallRole.SUPERSEDED);
+        }
+    }
+
     private void logReplacement(CallState next, double now) {
         CallState watch = schedule.watch();
         if (watch != null && !watch.silent(now)) {
--- a/src/main/java/loadbalancer/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryClient.java
@@ -38,6 +38,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final boolean pushed;
+    private final Random random;
     private final WatchBackoff backoff;
     private final Listener listener;
     private final DiscoveryLog discoveryLog;
@@ -64,10 +65,11 @@
         this.pushed = !settings.policySettings().endpointListPolled();
         this.listener = listener;
         this.currency = settings.currency();
-        Random random = new Random(settings.seed());
+        this.random = new Random(settings.seed());
         this.backoff = new WatchBackoff(settings.policySettings().rules().drainGraceMillis(), random);
         this.discoveryLog = new DiscoveryLog(clock, currency, log);
-        this.schedule = new CallSchedule(currency, pushed);
+        this.schedule =
+                new CallSchedule(currency, pushed, settings.policySettings().sidecarCount());
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(channels)
@@ -98,6 +100,8 @@
         if (schedule.unattendedSilentWatch(now) != null || schedule.callDue(now)) {
             // After a late turn, what has come may not have been read yet.
             SelectBarrier.runAfterSelect(loop, this::attendToCalls);
+        } else if (schedule.confirmationDue(now, random.nextDouble())) {
+            calls.open(address, receiver.version());
         }
         calls.closeExpired();
         discoveryLog.tick();
--- a/src/main/java/loadbalancer/policy/ListCurrency.java
+++ b/src/main/java/loadbalancer/policy/ListCurrency.java
@@ -93,6 +93,21 @@
         return budget.agentCallIntervalMillis(unansweredCalls);
     }
 
+    /** Returns the time within which a list has to be in force. */
+    public double termMillis() {
+        return budget.usableMillis();
+    }
+
+    /** Returns how late a path may be without a call that confirms its watch. */
+    double acceptedPathDelayMillis(boolean localAgent) {
+        return localAgent ? budget.acceptedAgentPathDelayMillis() : budget.acceptedPathDelayMillis();
+    }
+
+    /** Returns how long ago the list may have been complete for sure without a call that confirms its watch. */
+    double acceptedAgeMillis() {
+        return budget.acceptedAgeMillis();
+    }
+
     /** Returns the longest time over which the first calls of a fleet are spread. */
     double maxSpreadMillis() {
         return budget.maxSpreadMillis();
--- a/src/main/java/loadbalancer/policy/NotificationBudget.java
+++ b/src/main/java/loadbalancer/policy/NotificationBudget.java
@@ -35,6 +35,12 @@
     private static final double MIN_AGENT_INTERVAL_MILLIS = 50;
     private static final double AGENT_INTERVAL_GROWTH = 2;
 
+    /** A silent watch on a path that is late by so much is noticed early enough for two further calls. */
+    private static final double ACCEPTED_PATH_DELAY_FRACTION = 0.125;
+
+    /** What is left then suffices for one call that is nearly rejected. */
+    private static final double ACCEPTED_AGE_FRACTION = 0.5;
+
     private final double usableMillis;
     private final double drainGraceMillis;
 
@@ -86,6 +92,21 @@
         return Math.min(callIntervalMillis(), first * Math.pow(AGENT_INTERVAL_GROWTH, unansweredCalls));
     }
 
+    /** Returns how late a path may be without a call that confirms its watch. */
+    double acceptedPathDelayMillis() {
+        return usableMillis * ACCEPTED_PATH_DELAY_FRACTION;
+    }
+
+    /** Returns the same for a watch on a local agent, whose lists count as known at once. */
+    double acceptedAgentPathDelayMillis() {
+        return agentCallIntervalMillis(0);
+    }
+
+    /** Returns how long ago the list may have been complete for sure without a call that confirms its watch. */
+    double acceptedAgeMillis() {
+        return usableMillis * ACCEPTED_AGE_FRACTION;
+    }
+
     /** Returns the longest time over which the first calls of a fleet are spread. */
     double maxSpreadMillis() {
         return Math.max(MIN_INTERVAL_MILLIS, usableMillis * SPREAD_FRACTION);
--- a/src/main/java/loadbalancer/policy/WatchEvidence.java
+++ b/src/main/java/loadbalancer/policy/WatchEvidence.java
@@ -97,6 +97,11 @@
         return boundMillis;
     }
 
+    /** Returns by how much a line was late at the most that met no other bytes on its way. */
+    public double idlePathBoundMillis() {
+        return idlePathBoundMillis;
+    }
+
     /** Returns true once the watch has been silent, or its lines have come too late. */
     public boolean silent(double nowMillis) {
         return unreliable || nowMillis - writtenAtMillis() > maxSilenceMillis;
--- a/src/test/java/loadbalancer/discovery/CallScheduleTest.java
+++ b/src/test/java/loadbalancer/discovery/CallScheduleTest.java
@@ -21,7 +21,7 @@
     private static final double SECOND_INTERVAL_MILLIS = 0.375 * (TERM_MILLIS - INTERVAL_MILLIS);
 
     private final ListCurrency currency = new ListCurrency(new OperatorRules(500, 4, 1500, 0.12, 24_000, 10_000));
-    private final CallSchedule schedule = new CallSchedule(currency, false);
+    private final CallSchedule schedule = new CallSchedule(currency, false, 1);
 
     private CallState begin(double nowMillis) {
         return begin(schedule, nowMillis);
@@ -66,7 +66,7 @@
     // A lost call must not use up the grace of 500 ms; an agent that is gone is not called without a pause.
     @Test
     void callsToLocalAgentBeginFastAndBackOff() {
-        CallSchedule agent = new CallSchedule(currency, true);
+        CallSchedule agent = new CallSchedule(currency, true, 1);
         double atMillis = 0;
         for (double intervalMillis : new double[] {150, 300, 600, 1200, INTERVAL_MILLIS, INTERVAL_MILLIS}) {
             begin(agent, atMillis);
--- a/src/test/java/loadbalancer/discovery/DiscoveryCallsTest.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryCallsTest.java
@@ -234,6 +234,28 @@
         }
     }
 
+    // Guards against a path with less throughput than the changes need: lists come steadily, later and later.
+    @ParameterizedTest
+    @ValueSource(strings = {"ask", "push"})
+    void confirmsWatchOnWhichNoEmptyLineComesBetweenLists(String mode) throws Exception {
+        try (FakeServer service = fixture.newService()) {
+            FakeServer.Connection late = startWithWatch(service, mode);
+            for (int i = 1; i <= 6; i++) {
+                fixture.advance(500);
+                late.text(chunk(list(50 + i, false, "a")));
+                assertEquals("DELTA " + (50 + i) + " [a]", fixture.nextEvent());
+            }
+            fixture.awaitCheck();
+            fixture.advance(500);
+            FakeServer.Connection next = fixture.nextCall();
+            next.text(HEAD + chunk(list(70, false, "b")));
+            assertEquals("DELTA 70 [b]", fixture.nextEvent());
+            service.awaitClose();
+            assertTrue(late.socket().isClosed());
+            assertEquals(2, service.connections());
+        }
+    }
+
     // Guards against moves in series that each end the call that is about to be answered.
     @Test
     void keepsTurnOfCallIfDiscoveryMovesBack() throws Exception {
--- a/src/test/java/loadbalancer/discovery/DiscoveryClientFixture.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryClientFixture.java
@@ -111,6 +111,12 @@
         loop.submit(() -> {}).get();
     }
 
+    /** Waits until the client has looked at its calls once more. */
+    void awaitCheck() throws Exception {
+        blockLoop(() -> {});
+        awaitLoop();
+    }
+
     /** What happens while the loop is blocked. */
     interface Meanwhile {
         void run() throws Exception;
--- a/src/test/java/loadbalancer/discovery/DiscoveryLoadTest.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryLoadTest.java
@@ -21,13 +21,17 @@
     private static final double OBSERVED_MILLIS = 60_000;
     private static final double SERVICE_MILLIS = 10;
     private static final double NOTIFIED_WITHIN_MILLIS = 6000;
+    /** The term less the longest pause of a process. */
+    private static final double USABLE_MILLIS = 5850;
+
     private static final double MOVED_WITHIN_MILLIS = 4000;
 
     private enum Event {
         START,
         OUTAGE,
         SILENCE,
-        MOVE
+        MOVE,
+        CHANGES
     }
 
     private final ModelledDiscovery discovery = new ModelledDiscovery();
@@ -80,6 +84,8 @@
             sidecars.forEach(ModelledSidecar::silenceWatch);
         } else if (event == Event.MOVE) {
             sidecars.forEach(ModelledSidecar::move);
+        } else if (event == Event.CHANGES) {
+            sidecars.forEach(sidecar -> sidecar.setChanging(true));
         }
         run(reachable + OBSERVED_MILLIS);
         return reachable;
@@ -102,6 +108,15 @@
         assertTrue(result.lastListedMillis() <= term, result::toString);
     }
 
+    // Guards against calls that confirm watches and crowd the service, since the same changes make all of them
+    // doubtful.
+    @ParameterizedTest
+    @CsvSource({"5", "30", "100", "840"})
+    void steadyChangesCostOneCallOfEachSidecarInTermAtMost(int count) throws Exception {
+        Result result = measure(Event.CHANGES, count);
+        assertTrue(result.calls() <= count * OBSERVED_MILLIS / USABLE_MILLIS, result::toString);
+    }
+
     // The service needs 8.4 s for one call of each, so that nobody could have them all notified in 6 s.
     @ParameterizedTest
     @CsvSource({"START, 840", "OUTAGE, 840", "SILENCE, 840", "MOVE, 840"})
--- a/src/test/java/loadbalancer/discovery/ModelledSidecar.java
+++ b/src/test/java/loadbalancer/discovery/ModelledSidecar.java
@@ -18,6 +18,8 @@
     /** A call that the modelled service has in its queue. */
     record Call(ModelledSidecar caller, CallState state, double madeAtMillis, boolean[] answered) {}
 
+    private static final double CHANGE_INTERVAL_MILLIS = 500;
+
     private final ModelledDiscovery discovery;
     private final LossThrottlingPolicy policy;
     private final CallSchedule schedule;
@@ -25,6 +27,8 @@
     private final PriorityQueue<Double> wakes = new PriorityQueue<>();
     private final Map<CallState, Call> open = new HashMap<>();
     private CallState watch;
+    private boolean changing;
+    private double nextChangeMillis;
     private CallState silencedWatch;
     private boolean silenceReported;
     private double nextCheckMillis;
@@ -34,7 +38,7 @@
     ModelledSidecar(ModelledDiscovery discovery, PolicySettings settings, long seed) {
         this.discovery = discovery;
         this.policy = new LossThrottlingPolicy(settings, seed, this);
-        this.schedule = new CallSchedule(policy.listCurrency(), false);
+        this.schedule = new CallSchedule(policy.listCurrency(), false, settings.sidecarCount());
         this.random = new SplittableRandom(seed);
         this.nextCheckMillis = CHECK_INTERVAL_MILLIS * random.nextDouble();
     }
@@ -53,8 +57,7 @@
         }
         now = nowMillis;
         if (watch != null && watch != silencedWatch) {
-            watch.evidence().lineReceived(now, true);
-            policy.listCurrency().confirmed(now);
+            readWatch();
         }
         if (now >= nextCheckMillis) {
             nextCheckMillis += CHECK_INTERVAL_MILLIS;
@@ -62,12 +65,27 @@
         }
     }
 
+    // An empty line may come at any step, but a list only each half second.
+    private void readWatch() {
+        if (changing && now < nextChangeMillis) {
+            return;
+        }
+        nextChangeMillis = now + CHANGE_INTERVAL_MILLIS;
+        watch.evidence().lineReceived(now, !changing);
+        policy.listCurrency().confirmed(watch.evidence().earliestWrittenMillis());
+    }
+
+    /** From now on lists come on the watch without an empty line between them, or no lists. */
+    void setChanging(boolean isChanging) {
+        changing = isChanging;
+    }
+
     private void check() {
         if (schedule.unattendedSilentWatch(now) != null && !silenceReported) {
             silenceReported = true;
             policy.listCurrency().watchFellSilent();
             policy.endpointsChanged(now, WatchEvent.IDLE_TIMEOUT, List.of());
-        } else if (schedule.callDue(now)) {
+        } else if (schedule.callDue(now) || schedule.confirmationDue(now, random.nextDouble())) {
             call();
         }
     }
@@ -97,7 +115,13 @@
             return;
         }
         silenceReported = false;
-        policy.listCurrency().answered(state.begunAtMillis());
+        policy.listCurrency().answered(state.sentMillis());
+        if (!schedule.better(state, false, now)) {
+            open.remove(state);
+            schedule.ended(state);
+            schedule.supersedeWaiting();
+            return;
+        }
         if (watch == null || watch == silencedWatch) {
             listedAtMillis = now;
         }
