Poll a service that ends each watch after its list by what is left of the term

Seen: each sidecar calls 2 to 3 times a second where the service ends each watch in order after its list: 840 processes make 2,500 calls a second of it. Cause: an answer resets the backoff, so that each end is a first failure. The list was current when the watch ended, and the term allows a tenth of these calls. From the second watch in a row that lives for less than 2 s, the next poll comes after a quarter to half of what is left of the term; the rest suffices for one call. One short watch is still followed at once: it may end instead of telling. Pushed lists are left as they are, some ten calls a second to the local agent: what it has counts as told at once, and the pause is a part of the grace.

--- a/src/test/java/loadbalancer/policy/DiscoveryPollScheduleTest.java
+++ b/src/test/java/loadbalancer/policy/DiscoveryPollScheduleTest.java
@@ -103,6 +103,35 @@
         }
     }
 
+    /** Polls, and lets the list come at once and the watch end after this time; returns when it ended. */
+    private double pollAndEndWatchAfter(DiscoveryPollSchedule schedule, double lifeMillis) {
+        double polledAt = poll(schedule);
+        currency.answered(polledAt);
+        schedule.listReceived(polledAt);
+        schedule.failed(polledAt + lifeMillis);
+        return polledAt + lifeMillis;
+    }
+
+    // Guards against three calls a second of each sidecar at a service that ends each watch after its list.
+    @Test
+    void pausesForQuarterToHalfOfTermAfterSecondShortWatch() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            DiscoveryPollSchedule schedule = schedule(1, DEADLINE_MILLIS, seed);
+            schedule.start(NOW);
+            double endedAt = pollAndEndWatchAfter(schedule, 10);
+            assertNextPollWithin(endedAt + 150, endedAt + 460);
+            for (double lifeMillis : new double[] {10, 0, 1900}) {
+                endedAt = pollAndEndWatchAfter(schedule, lifeMillis);
+                double leftMillis = 5850 - lifeMillis;
+                assertNextPollWithin(endedAt + leftMillis / 4, endedAt + leftMillis / 2);
+            }
+            endedAt = pollAndEndWatchAfter(schedule, 2100);
+            assertNextPollWithin(endedAt + 150, endedAt + 460);
+            endedAt = pollAndEndWatchAfter(schedule, 10);
+            assertNextPollWithin(endedAt + 150, endedAt + 460);
+        }
+    }
+
     @Test
     void fitsBackoffAndSpreadIntoTheInterval() {
         for (int seed = 0; seed < SEEDS; seed++) {
@@ -225,7 +254,7 @@
                     assertNextPollWithin(rejectedAt + 150, rejectedAt + Math.min(3510, 150 + Math.max(600, wanted)));
                     wanted *= 2;
                 }
-                schedule.listReceived();
+                schedule.listReceived(NOW);
                 schedule.rejected(NOW);
                 assertNextPollWithin(NOW + 150, NOW + 150 + Math.max(600, spreadMillis / 2));
             }
@@ -241,11 +270,11 @@
         schedule.failed(polledAt);
         schedule.failed(polledAt);
         assertEquals(List.of("endpoint list unavailable, using the last known list"), actions.log());
-        schedule.listReceived();
+        schedule.listReceived(NOW);
         assertEquals("endpoint list available again", actions.log().get(1));
         poll(schedule);
         assertEquals(1, actions.watches());
-        schedule.listReceived();
+        schedule.listReceived(NOW);
         assertEquals(2, actions.log().size());
     }
 
@@ -253,7 +282,7 @@
     void firstPollTakesPlaceDespiteEarlierList() {
         DiscoveryPollSchedule schedule = schedule(1, DEADLINE_MILLIS, 1);
         schedule.start(NOW);
-        schedule.listReceived();
+        schedule.listReceived(NOW);
         poll(schedule);
         assertEquals(1, actions.watches());
     }
