Print how long the stand-ins of the deadline tests waited for a core

LateEvidenceDeadlineTest failed once (7.0 s of 6.5) and could not be traced: nothing said whether program or machine was late. The deadline tests now sample the waits of their own threads, as the soak does, and print them. Bounds are unchanged.

--- a/src/test/java/loadbalancer/lifecycle/DrainDeadline.java
+++ b/src/test/java/loadbalancer/lifecycle/DrainDeadline.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import loadbalancer.testing.CoreWaitLog;
 import loadbalancer.testing.EndpointPair;
 
 /** Runs cases side by side, each with a process of its own, and checks that each drain is in force in time. */
@@ -54,8 +56,24 @@
         assertEquals(Map.of(), late);
     }
 
+    /** Prints for how long the stand-ins' own threads got no core, which tells a late machine from a late program. */
     private static Map<String, DrainScenario.Result> measureAll(
             Path directory, String listMode, Map<String, Scenario> cases) throws Exception {
+        ScheduledExecutorService sampler = Executors.newSingleThreadScheduledExecutor();
+        long startNanos = System.nanoTime();
+        CoreWaitLog waits = CoreWaitLog.start(
+                sampler, () -> ProgramProcess.threadsOf(ProcessHandle.current().pid()));
+        try {
+            return measureSideBySide(directory, listMode, cases);
+        } finally {
+            sampler.shutdownNow();
+            System.out.println(listMode + ", threads of the stand-ins waited for a core for "
+                    + Math.round(waits.waitedMillis(startNanos, System.nanoTime())) + " ms");
+        }
+    }
+
+    private static Map<String, DrainScenario.Result> measureSideBySide(
+            Path directory, String listMode, Map<String, Scenario> cases) throws Exception {
         ExecutorService threads = Executors.newCachedThreadPool();
         try {
             Map<String, Future<DrainScenario.Result>> measured = new LinkedHashMap<>();
