--- a/src/test/java/loadbalancer/soak/SoakDeployment.java
+++ b/src/test/java/loadbalancer/soak/SoakDeployment.java
@@ -45,7 +45,7 @@
                 sidecars,
                 random.nextBoolean() ? sidecars : 100,
                 6 + random.nextInt(5),
-                random.nextInt(3) == 0 ? "push" : "ask",
+                random.nextBoolean() ? "push" : "ask",
                 DEADLINES_MILLIS.get(random.nextInt(DEADLINES_MILLIS.size())),
                 300 + random.nextInt(700),
                 500 + random.nextInt(4000),
--- a/src/test/java/loadbalancer/soak/SoakFaults.java
+++ b/src/test/java/loadbalancer/soak/SoakFaults.java
@@ -55,9 +55,6 @@
     }
 
     private void drawDiscoveryFaults() {
-        if (deployment.listMode().equals("push")) {
-            return;
-        }
         int atMillis = between(500, 5000);
         for (int i = random.nextInt(3); i > 0; i--) {
             int untilMillis = atMillis + between(500, 4000);
--- a/src/test/java/loadbalancer/soak/SoakWatch.java
+++ b/src/test/java/loadbalancer/soak/SoakWatch.java
@@ -27,12 +27,12 @@
     }
 
     private static final int DELAYED_PERCENT = 45;
-    private static final double MAX_CONSTANT_MILLIS = 2500;
+    private static final double MAX_CONSTANT_MILLIS = 7000;
     private static final double MAX_GROWTH = 0.9;
     private static final double MIN_PERIOD_MILLIS = 1000;
     private static final double MAX_BURST_MILLIS = 5000;
     private static final double MAX_LIFE_BEFORE_FREEZE_MILLIS = 6000;
-    private static final double MIN_BYTES_PER_MILLI = 1;
+    private static final double MIN_BYTES_PER_MILLI = 0.7;
     private static final double MAX_BYTES_PER_MILLI = 5;
     private static final int PIECE_BYTES = 100;
 
