Close the postmortem of late paths, and list the sequences that a longer search found

They stand in a test of their own, which is listed, so that the search of the build goes on with its 10,000 seeds.

--- a/src/test/java/loadbalancer/faultsearch/FaultSequenceSearchTest.java
+++ b/src/test/java/loadbalancer/faultsearch/FaultSequenceSearchTest.java
@@ -2,9 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Random sequences of faults in virtual time, by seeds; no drain is ignored. By hand:
@@ -29,6 +32,14 @@
         assertNoneFails(FaultSequenceSearchTest::isLargeFleetOnSlowPaths);
     }
 
+    // Guards against the sequences that longer searches by hand have found.
+    @ParameterizedTest
+    @ValueSource(longs = {41_104, 61_981, 68_414, 71_089, 75_318, 89_776, 102_223, 105_996})
+    void sequenceFoundByHandKeepsDrains(long seed) {
+        assertEquals(
+                List.of(), VirtualRun.play(FaultSequenceGenerator.draw(seed)).violations());
+    }
+
     private static boolean isLargeFleetOnSlowPaths(FaultSequence sequence) {
         return !sequence.pushed()
                 && sequence.sidecars() > FaultSequenceGenerator.FEW_SIDECARS
