Ask in one place whether the watch can be relied on, and share two figures of a crowded service

CallSchedule asked five times, and DiscoveryCalls once more, whether a watch is open and not silent: watchReliable says it. WatchConfirmation repeated two constants of DiscoveryPollSchedule, and gave out a time with a condition that its caller had to join: mayFollowUnanswered is one question. ServiceHistory copied its endpoints for a caller that copies them again. WatchConfirmationTest asserts the same moments by the new question.

--- a/src/main/java/loadbalancer/discovery/CallSchedule.java
+++ b/src/main/java/loadbalancer/discovery/CallSchedule.java
@@ -57,7 +57,7 @@
 
     /** Returns true if no call waits, and no watch is open that can be relied on. */
     boolean callNeeded(double nowMillis) {
-        return waiting.isEmpty() && (watch == null || watch.silent(nowMillis));
+        return waiting.isEmpty() && !watchReliable(nowMillis);
     }
 
     /** Returns an open watch that has been silent and beside which no call waits, or null. */
@@ -67,14 +67,14 @@
 
     /** Returns true if another call has to begin since none of those that wait has been answered. */
     boolean callDue(double nowMillis) {
-        double dueMillis = waitsBesideReliableWatch(nowMillis)
-                ? Math.max(nextCallAtMillis, confirmation.earliestMillis())
-                : nextCallAtMillis;
-        return !waiting.isEmpty() && nowMillis >= dueMillis;
+        return !waiting.isEmpty()
+                && nowMillis >= nextCallAtMillis
+                && (!watchReliable(nowMillis) || confirmation.mayFollowUnanswered(nowMillis, watch.evidence()));
     }
 
-    private boolean waitsBesideReliableWatch(double nowMillis) {
-        return watch != null && !watch.silent(nowMillis) && confirmation.mayWaitForAnswer(nowMillis, watch.evidence());
+    /** Returns true if a watch is open that can be relied on. */
+    boolean watchReliable(double nowMillis) {
+        return watch != null && !watch.silent(nowMillis);
     }
 
     /**
@@ -83,10 +83,7 @@
      * @param random from 0 to 1
      */
     boolean confirmationDue(double nowMillis, double random) {
-        return waiting.isEmpty()
-                && watch != null
-                && !watch.silent(nowMillis)
-                && confirmation.due(nowMillis, watch.evidence(), random);
+        return waiting.isEmpty() && watchReliable(nowMillis) && confirmation.due(nowMillis, watch.evidence(), random);
     }
 
     /**
@@ -95,7 +92,7 @@
      * @param newer true if its list is newer than that of the watch
      */
     boolean better(CallState call, boolean newer, double nowMillis) {
-        if (watch == null || watch.silent(nowMillis)) {
+        if (!watchReliable(nowMillis)) {
             return true;
         }
         if (newer) {
@@ -111,11 +108,6 @@
         return others;
     }
 
-    /** Returns the open watch, or null. */
-    CallState watch() {
-        return watch;
-    }
-
     /** Returns the call to give up before another begins, or null if there is room. */
     CallState replaceable(double nowMillis) {
         if (waiting.size() < MAX_WAITING_CALLS) {
@@ -138,7 +130,7 @@
     CallState begin(double nowMillis, double random) {
         CallState call = new CallState(nowMillis, random);
         waiting.add(call);
-        if (watch != null && !watch.silent(nowMillis)) {
+        if (watchReliable(nowMillis)) {
             confirmation.begun(nowMillis);
         }
         scheduleNext(nowMillis);
--- a/src/main/java/loadbalancer/discovery/DiscoveryCalls.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryCalls.java
@@ -129,7 +129,9 @@
             schedule.supersedeWaiting().forEach(this::supersede);
             return;
         }
-        logReplacement(state, now);
+        if (schedule.watchReliable(now)) {
+            log.watchReplaced(state.ageMillis(now));
+        }
         schedule.answered(state, now).forEach(this::supersede);
         state.setRole(CallRole.WATCH);
     }
@@ -142,13 +144,6 @@
         }
     }
 
-    private void logReplacement(CallState next, double now) {
-        CallState watch = schedule.watch();
-        if (watch != null && !watch.silent(now)) {
-            log.watchReplaced(next.ageMillis(now));
-        }
-    }
-
     /**
      * Discovery has moved: the watch is closed, which is no failure. A call that has not been answered goes on, for it
      * may name endpoints that drain, and in a series of moves its address may be wanted again.
--- a/src/main/java/loadbalancer/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryClient.java
@@ -111,6 +111,7 @@
         double now = clock.now();
         CallState silent = schedule.unattendedSilentWatch(now);
         if (silent != null && !silenceReported) {
+            // It stays open until another call is answered: it may only be late.
             silenceReported = true;
             currency.watchFellSilent();
             discoveryLog.callEnded(CallEnd.SILENT, silent.ageMillis(now));
@@ -120,7 +121,6 @@
         }
     }
 
-    // A silent watch stays open until another call is answered: it may only be late.
     private void renewWatch(WatchEvent reason) {
         if (pushed) {
             watch();
--- a/src/main/java/loadbalancer/discovery/ServiceHistory.java
+++ b/src/main/java/loadbalancer/discovery/ServiceHistory.java
@@ -1,5 +1,6 @@
 package loadbalancer.discovery;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
 import loadbalancer.policy.Endpoint;
@@ -47,7 +48,7 @@
 
     /** Returns the start times of the endpoints that it names as ready. */
     Map<String, Double> ready() {
-        return Map.copyOf(ready);
+        return Collections.unmodifiableMap(ready);
     }
 
     /** Remembers its newest list. */
--- a/src/main/java/loadbalancer/policy/DiscoveryPollSchedule.java
+++ b/src/main/java/loadbalancer/policy/DiscoveryPollSchedule.java
@@ -15,10 +15,10 @@
     private static final double MAX_BACKOFF_MILLIS = 1000;
 
     /** Time over which polls are spread, for each sidecar of the fleet. */
-    private static final double SPREAD_MILLIS_PER_SIDECAR = 200;
+    static final double SPREAD_MILLIS_PER_SIDECAR = 200;
 
     /** The calls of so many sidecars may wait for their turn together without one that is rejected. */
-    private static final int SIDECARS_ANSWERED_IN_TURN = 8;
+    static final int SIDECARS_ANSWERED_IN_TURN = 8;
 
     /** Spread for each sidecar of a fleet that is as small as that. */
     private static final double SMALL_FLEET_SPREAD_MILLIS_PER_SIDECAR = 10;
--- a/src/main/java/loadbalancer/policy/WatchConfirmation.java
+++ b/src/main/java/loadbalancer/policy/WatchConfirmation.java
@@ -11,11 +11,7 @@
  * crowd a service that needs a whole term for one call of each.
  */
 public final class WatchConfirmation {
-    /** The calls of so many sidecars may wait for their turn together without one that is rejected. */
-    private static final int SMALL_FLEET_SIDECARS = 8;
-
     private static final double SMALL_FLEET_SPREAD_MILLIS_PER_SIDECAR = 50;
-    private static final double LARGE_FLEET_INTERVAL_MILLIS_PER_SIDECAR = 200;
     private static final int LARGE_FLEET_MIN_INTERVAL_TERMS = 2;
     private static final double LARGE_FLEET_SPREAD_FRACTION = 0.5;
 
@@ -36,7 +32,7 @@
      */
     public WatchConfirmation(ListCurrency currency, boolean localAgent, int sidecars) {
         this.currency = currency;
-        this.callsMayCrowd = !localAgent && sidecars > SMALL_FLEET_SIDECARS;
+        this.callsMayCrowd = !localAgent && sidecars > DiscoveryPollSchedule.SIDECARS_ANSWERED_IN_TURN;
         this.maxPathDelayMillis = currency.acceptedPathDelayMillis(localAgent);
         if (localAgent) {
             this.intervalMillis = currency.callIntervalMillis();
@@ -44,7 +40,7 @@
         } else if (callsMayCrowd) {
             this.intervalMillis = Math.max(
                     LARGE_FLEET_MIN_INTERVAL_TERMS * currency.termMillis(),
-                    sidecars * LARGE_FLEET_INTERVAL_MILLIS_PER_SIDECAR);
+                    sidecars * DiscoveryPollSchedule.SPREAD_MILLIS_PER_SIDECAR);
             this.spreadMillis = intervalMillis * LARGE_FLEET_SPREAD_FRACTION;
         } else {
             this.intervalMillis = currency.termMillis();
@@ -73,16 +69,11 @@
                 || nowMillis - watch.earliestWrittenMillis() > currency.acceptedAgeMillis();
     }
 
-    /** Returns true if no call is to follow one that is unanswered beside this watch, which can be relied on. */
-    public boolean mayWaitForAnswer(double nowMillis, WatchEvidence watch) {
-        return callsMayCrowd
-                || nowMillis - watch.earliestWrittenMillis()
-                        <= currency.acceptedAgeMillis() + currency.callIntervalMillis();
-    }
-
-    /** Returns before when no further call is to begin beside a watch that can be relied on. */
-    public double earliestMillis() {
-        return earliestMillis;
+    /** Returns true if a further call may begin though one is unanswered beside this watch, which can be relied on. */
+    public boolean mayFollowUnanswered(double nowMillis, WatchEvidence watch) {
+        double longestAgeMillis = currency.acceptedAgeMillis() + currency.callIntervalMillis();
+        boolean moreDoubtful = nowMillis - watch.earliestWrittenMillis() > longestAgeMillis;
+        return nowMillis >= earliestMillis || moreDoubtful && !callsMayCrowd;
     }
 
     /** A call has begun beside a watch that can be relied on. */
--- a/src/test/java/loadbalancer/policy/WatchConfirmationTest.java
+++ b/src/test/java/loadbalancer/policy/WatchConfirmationTest.java
@@ -1,6 +1,5 @@
 package loadbalancer.policy;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -64,7 +63,11 @@
         WatchConfirmation confirmation = confirmation(false, FEW_SIDECARS);
         assertTrue(dueBesideSteadyLists(confirmation, 0) <= TERM_MILLIS / 2 + 500);
         confirmation.begun(3000);
-        assertEquals(3000 + TERM_MILLIS, confirmation.earliestMillis());
+        WatchEvidence watch = new WatchEvidence(3000, 3000, 1);
+        watch.lineReceived(5000, true);
+        watch.lineReceived(7000, true);
+        assertFalse(confirmation.mayFollowUnanswered(2999 + TERM_MILLIS, watch));
+        assertTrue(confirmation.mayFollowUnanswered(3000 + TERM_MILLIS, watch));
         assertTrue(3000 + dueBesideSteadyLists(confirmation, 3000) >= 3000 + TERM_MILLIS);
     }
 
@@ -83,7 +86,7 @@
         confirmation.begun(0);
         confirmation.watchFoundLate(0);
         assertTrue(dueBesideSteadyLists(confirmation, 0) >= 2 * TERM_MILLIS);
-        assertTrue(confirmation.mayWaitForAnswer(100_000, new WatchEvidence(0, 0, 1)));
+        assertFalse(confirmation.mayFollowUnanswered(200 * MANY_SIDECARS - 1, new WatchEvidence(0, 0, 1)));
     }
 
     @Test
