Write chunks of stand-ins by one method, and drop state that the virtual stand-ins kept for nobody

Five stand-ins framed a chunk by themselves: FakeServer.chunk does it for all. VirtualServer noted when a connection was closed, and DrainRecords how many calls were answered; nothing read either.

--- a/src/test/java/loadbalancer/discovery/WatchResponses.java
+++ b/src/test/java/loadbalancer/discovery/WatchResponses.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import loadbalancer.testing.FakeServer;
 import loadbalancer.testing.TestSidecar;
 
@@ -14,7 +13,7 @@
     private WatchResponses() {}
 
     static String chunk(String text) {
-        return Integer.toHexString(text.getBytes(StandardCharsets.UTF_8).length) + "\r\n" + text + "\r\n";
+        return FakeServer.chunk(text);
     }
 
     /** A chunk with this text as a line. */
--- a/src/test/java/loadbalancer/faultsearch/DrainRecords.java
+++ b/src/test/java/loadbalancer/faultsearch/DrainRecords.java
@@ -68,7 +68,6 @@
 
     final List<String> timeline = new ArrayList<>();
     int calls;
-    int answered;
 
     Process process() {
         return processes.get(processes.size() - 1);
--- a/src/test/java/loadbalancer/faultsearch/VirtualDiscovery.java
+++ b/src/test/java/loadbalancer/faultsearch/VirtualDiscovery.java
@@ -50,7 +50,6 @@
                 return;
             }
             answered = true;
-            records.answered++;
             boolean changesOnly = sequence.tellsChanges() && after >= 0 && after <= registry.version();
             writtenVersion = registry.version();
             write(FakeServer.CHUNKED_HEAD, List.of());
@@ -76,7 +75,7 @@
         }
 
         void writeLine(String line, List<Host> retired) {
-            write(Integer.toHexString(line.length()) + "\r\n" + line + "\r\n", retired);
+            write(FakeServer.chunk(line), retired);
             scheduleEmptyLine();
         }
 
@@ -142,7 +141,7 @@
     }
 
     void listen(InetSocketAddress address) {
-        VirtualServer.listen(loop, clock, address, this);
+        VirtualServer.listen(loop, address, this);
     }
 
     private void keepList() {
--- a/src/test/java/loadbalancer/faultsearch/VirtualRun.java
+++ b/src/test/java/loadbalancer/faultsearch/VirtualRun.java
@@ -89,7 +89,7 @@
             records.lives.add(new Life(i, 0, 0));
             hosts.add(host(records.life(i), "ready"));
             int endpoint = i;
-            VirtualServer.listen(world, clock, address(FIRST_ENDPOINT_PORT + i), (connection, request) -> {
+            VirtualServer.listen(world, address(FIRST_ENDPOINT_PORT + i), (connection, request) -> {
                 records.arrivals.add(new DrainRecords.Arrival(records.process(), endpoint, clock.millis()));
                 connection.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
             });
--- a/src/test/java/loadbalancer/faultsearch/VirtualServer.java
+++ b/src/test/java/loadbalancer/faultsearch/VirtualServer.java
@@ -16,7 +16,6 @@
     /** One connection of a client. */
     static final class Connection {
         private final Channel channel;
-        private double closedMillis = Double.POSITIVE_INFINITY;
 
         private Connection(Channel channel) {
             this.channel = channel;
@@ -33,11 +32,6 @@
             channel.close();
         }
 
-        /** Returns when it was closed by either side; infinity while it is open. */
-        double closedMillis() {
-            return closedMillis;
-        }
-
         boolean open() {
             return channel.isActive();
         }
@@ -55,27 +49,25 @@
     private VirtualServer() {}
 
     /** Listens at this address. */
-    static void listen(VirtualLoop loop, VirtualClock clock, InetSocketAddress address, Listener listener) {
+    static void listen(VirtualLoop loop, InetSocketAddress address, Listener listener) {
         new ServerBootstrap()
                 .group(loop)
                 .channel(LocalServerChannel.class)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new RequestHandler(clock, new Connection(channel), listener));
+                        channel.pipeline().addLast(new RequestHandler(new Connection(channel), listener));
                     }
                 })
                 .bind(loop.address(address));
     }
 
     private static final class RequestHandler extends SimpleChannelInboundHandler<ByteBuf> {
-        private final VirtualClock clock;
         private final Connection connection;
         private final Listener listener;
         private final StringBuilder received = new StringBuilder();
 
-        RequestHandler(VirtualClock clock, Connection connection, Listener listener) {
-            this.clock = clock;
+        RequestHandler(Connection connection, Listener listener) {
             this.connection = connection;
             this.listener = listener;
         }
@@ -93,7 +85,6 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext context) {
-            connection.closedMillis = clock.millis();
             listener.closed(connection);
         }
     }
--- a/src/test/java/loadbalancer/soak/SoakWatch.java
+++ b/src/test/java/loadbalancer/soak/SoakWatch.java
@@ -100,7 +100,7 @@
     }
 
     private void enqueueChunk(String line, List<String> retired) {
-        String frame = Integer.toHexString(line.length()) + "\r\n" + line + "\r\n";
+        String frame = FakeServer.chunk(line);
         int pieceBytes = delay == Delay.THROTTLED ? PIECE_BYTES : frame.length();
         for (int from = 0; from < frame.length(); from += pieceBytes) {
             int to = Math.min(frame.length(), from + pieceBytes);
--- a/src/test/java/loadbalancer/testing/FakeServer.java
+++ b/src/test/java/loadbalancer/testing/FakeServer.java
@@ -36,6 +36,11 @@
     private static final AtomicInteger NEXT_RESERVED_PORT =
             new AtomicInteger((int) (ProcessHandle.current().pid() * 100 % RESERVED_PORTS));
 
+    /** Returns the bytes of one chunk with this text, as a body in chunks has them. */
+    public static String chunk(String text) {
+        return Integer.toHexString(text.getBytes(StandardCharsets.UTF_8).length) + "\r\n" + text + "\r\n";
+    }
+
     /** What came in, read whole. */
     public record Request(String line, Map<String, String> headers, byte[] body) {
         private static final String DISCOVERY_PATH = "/registry/instances";
@@ -57,7 +62,7 @@
 
         /** One chunk of an answer in chunks. */
         public void chunk(String content) throws IOException {
-            text(Integer.toHexString(content.length()) + "\r\n" + content + "\r\n");
+            text(FakeServer.chunk(content));
         }
 
         /** Writes a response with this status, further headers and body. */
--- a/src/test/java/loadbalancer/testing/PathDiscovery.java
+++ b/src/test/java/loadbalancer/testing/PathDiscovery.java
@@ -48,7 +48,7 @@
         }
 
         private void writeLine(String line) {
-            write(Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+            write(FakeServer.chunk(line));
             if (emptyLine != null) {
                 emptyLine.cancel(false);
             }
