--- a/src/test/java/loadbalancer/lifecycle/LatePathScenario.java
+++ b/src/test/java/loadbalancer/lifecycle/DiscoveryPathScenario.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.IntFunction;
 import loadbalancer.testing.EndpointPair;
 import loadbalancer.testing.EndpointRegistry;
@@ -16,10 +17,10 @@
 import loadbalancer.testing.TestClient;
 
 /**
- * A sidecar process behind a discovery service that is in order but for the paths of its connections. One of two
- * endpoints starts draining; measures until when it gets requests.
+ * A sidecar process behind a discovery service that is in order but for the paths of its connections, and for what a
+ * case does to its calls. One of two endpoints starts draining; measures until when it gets requests.
  */
-final class LatePathScenario {
+final class DiscoveryPathScenario {
     private static final int SIDECARS_IN_FLEET = 5;
     private static final long FIRST_VERSION = 41;
     /** The paths have shown what they are by then. */
@@ -34,6 +35,7 @@
 
     private final Path configuration;
     private final String listMode;
+    private final long drainGraceMillis;
     private final EndpointPair endpoints;
     private final PathDiscovery discovery;
     private final String listen = FakeServer.refusing();
@@ -42,13 +44,15 @@
 
     /** Carries out one case with a process that serves; returns milliseconds from the change to the last request. */
     interface Case {
-        double run(LatePathScenario scenario) throws Exception;
+        double run(DiscoveryPathScenario scenario) throws Exception;
     }
 
-    private LatePathScenario(Path directory, String listMode, EndpointPair endpoints, PathDiscovery discovery)
+    private DiscoveryPathScenario(
+            Path directory, String listMode, long drainGraceMillis, EndpointPair endpoints, PathDiscovery discovery)
             throws Exception {
         this.configuration = directory.resolve("configuration.json");
         this.listMode = listMode;
+        this.drainGraceMillis = drainGraceMillis;
         this.endpoints = endpoints;
         this.discovery = discovery;
         configure(discovery);
@@ -59,9 +63,27 @@
     /** Starts a process whose connections to discovery have these paths, and runs the case. */
     static DrainScenario.Result run(Path directory, String listMode, IntFunction<PathTreatment> paths, Case drainCase)
             throws Exception {
+        return run(directory, listMode, EndpointPair.DRAIN_GRACE_MILLIS, paths, discovery -> {}, drainCase);
+    }
+
+    /**
+     * The same with this grace period.
+     *
+     * @param beforeStart prepares the service before the process calls it
+     */
+    static DrainScenario.Result run(
+            Path directory,
+            String listMode,
+            long drainGraceMillis,
+            IntFunction<PathTreatment> paths,
+            Consumer<PathDiscovery> beforeStart,
+            Case drainCase)
+            throws Exception {
         try (EndpointPair endpoints = new EndpointPair();
                 PathDiscovery discovery = new PathDiscovery(registry(endpoints), paths)) {
-            LatePathScenario scenario = new LatePathScenario(directory, listMode, endpoints, discovery);
+            discovery.run(() -> beforeStart.accept(discovery));
+            DiscoveryPathScenario scenario =
+                    new DiscoveryPathScenario(directory, listMode, drainGraceMillis, endpoints, discovery);
             try {
                 DrainScenario.awaitReady(scenario.client);
                 double millis = drainCase.run(scenario);
@@ -80,11 +102,23 @@
     }
 
     private void configure(PathDiscovery service) throws IOException {
-        Files.writeString(
-                configuration, endpoints.configuration(listen, service.address(), SIDECARS_IN_FLEET, listMode));
+        String json = endpoints.configuration(listen, service.address(), SIDECARS_IN_FLEET, listMode);
+        String defaultGrace = "\"drain_grace\":" + EndpointPair.DRAIN_GRACE_MILLIS;
+        Files.writeString(configuration, json.replace(defaultGrace, "\"drain_grace\":" + drainGraceMillis));
+    }
+
+    /** Returns the service that the process calls. */
+    PathDiscovery discovery() {
+        return discovery;
+    }
+
+    /** Sends requests for so long. */
+    void sendFor(long millis) throws IOException {
+        endpoints.sendFor(client, millis, System.nanoTime());
     }
 
-    private double drain() throws IOException {
+    /** Lets the endpoint drain, and returns milliseconds from then to its last request. */
+    double drain() throws IOException {
         long drainNanos = System.nanoTime();
         discovery.change(endpoints.drainingHost("draining"));
         return endpoints.sendUntilQuiet(client, drainNanos);
--- a/src/test/java/loadbalancer/lifecycle/LatePathDeadlineTest.java
+++ b/src/test/java/loadbalancer/lifecycle/LatePathDeadlineTest.java
@@ -28,8 +28,9 @@
         return call -> PathTreatment.throttled(bytesPerSecond);
     }
 
-    private static DrainDeadline.Scenario scenario(IntFunction<PathTreatment> paths, LatePathScenario.Case drainCase) {
-        return (directory, listMode) -> LatePathScenario.run(directory, listMode, paths, drainCase);
+    private static DrainDeadline.Scenario scenario(
+            IntFunction<PathTreatment> paths, DiscoveryPathScenario.Case drainCase) {
+        return (directory, listMode) -> DiscoveryPathScenario.run(directory, listMode, paths, drainCase);
     }
 
     // Guards against a call answered late that takes the watch over from a prompt one, and then goes silent.
@@ -39,10 +40,10 @@
         Map<String, DrainDeadline.Scenario> cases = new LinkedHashMap<>();
         cases.put(
                 "first path late by 4.5 s, then dark",
-                scenario(firstLate(4500), LatePathScenario::drainOncePathIsDark));
+                scenario(firstLate(4500), DiscoveryPathScenario::drainOncePathIsDark));
         cases.put(
                 "first path late by 5.5 s, then dark",
-                scenario(firstLate(5500), LatePathScenario::drainOncePathIsDark));
+                scenario(firstLate(5500), DiscoveryPathScenario::drainOncePathIsDark));
         DrainDeadline.assertAllInTime(directory, listMode, cases, MAX_MILLIS);
     }
 
@@ -51,8 +52,8 @@
     @ValueSource(strings = {"ask", "push"})
     void drainIsInForceInTimeThoughCallIsAnsweredLate(String listMode) throws Exception {
         Map<String, DrainDeadline.Scenario> cases = new LinkedHashMap<>();
-        cases.put("first path late by 5.5 s", scenario(firstLate(5500), LatePathScenario::drainLater));
-        cases.put("first path late by 6.3 s", scenario(firstLate(6300), LatePathScenario::drainLater));
+        cases.put("first path late by 5.5 s", scenario(firstLate(5500), DiscoveryPathScenario::drainLater));
+        cases.put("first path late by 6.3 s", scenario(firstLate(6300), DiscoveryPathScenario::drainLater));
         double maxMillis = listMode.equals("push") ? EndpointPair.DRAIN_GRACE_MILLIS + SLACK_MILLIS : MAX_MILLIS;
         DrainDeadline.assertAllInTime(directory, listMode, cases, maxMillis);
     }
@@ -63,8 +64,8 @@
     @ValueSource(strings = {"ask", "push"})
     void drainIsInForceInTimeThoughPathIsSlowerThanChanges(String listMode) throws Exception {
         Map<String, DrainDeadline.Scenario> cases = new LinkedHashMap<>();
-        cases.put("900 bytes a second", scenario(throttled(900), LatePathScenario::drainAfterChurn));
-        cases.put("500 bytes a second", scenario(throttled(500), LatePathScenario::drainAfterChurn));
+        cases.put("900 bytes a second", scenario(throttled(900), DiscoveryPathScenario::drainAfterChurn));
+        cases.put("500 bytes a second", scenario(throttled(500), DiscoveryPathScenario::drainAfterChurn));
         DrainDeadline.assertAllInTime(directory, listMode, cases, MAX_MILLIS);
     }
 
@@ -75,7 +76,7 @@
         Map<String, DrainDeadline.Scenario> cases = new LinkedHashMap<>();
         cases.put(
                 "service that lags by 4 s",
-                scenario(call -> PathTreatment.PROMPT, LatePathScenario::moveToLaggingService));
+                scenario(call -> PathTreatment.PROMPT, DiscoveryPathScenario::moveToLaggingService));
         DrainDeadline.assertAllInTime(directory, listMode, cases, EndpointPair.DRAIN_GRACE_MILLIS + SLACK_MILLIS);
     }
 }
--- a/src/test/java/loadbalancer/testing/FakeServer.java
+++ b/src/test/java/loadbalancer/testing/FakeServer.java
@@ -24,6 +24,9 @@
     /** The head of a response in chunks, such as a watch. */
     public static final String CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+    /** The end of a response in chunks. */
+    public static final String LAST_CHUNK = "0\r\n\r\n";
+
     /** How long a test waits for something that must happen, in seconds. */
     public static final int TIMEOUT_SECONDS = 20;
 
--- a/src/test/java/loadbalancer/testing/PathDiscovery.java
+++ b/src/test/java/loadbalancer/testing/PathDiscovery.java
@@ -3,22 +3,37 @@
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /**
- * A discovery service on loopback that is in order: it answers each call at once and tells each change. What it writes
- * passes a {@link NetworkPath} of its own for each connection.
+ * A discovery service on loopback that answers each call and tells each change, unless its calls are treated in another
+ * way. What it writes passes a {@link NetworkPath} of its own for each connection.
  */
 public final class PathDiscovery implements AutoCloseable {
+    /** What becomes of a call. */
+    public enum CallTreatment {
+        /** The list, and then a watch. */
+        ANSWERED,
+        /** The list, and then the end of the response in order. */
+        ENDED_AFTER_LIST,
+        /** Not a byte comes, and the connection stays open. */
+        NEVER_ANSWERED
+    }
+
     private static final long LINE_INTERVAL_MILLIS = 2000;
+    /** From the list of a watch to its end, where watches end after their lists. */
+    private static final long END_AFTER_MILLIS = 200;
+
     private static final long MIN_PAUSE_MILLIS = 100;
     private static final Pattern AFTER = Pattern.compile("after=(\\d+)");
 
@@ -49,9 +64,7 @@
 
         private void writeLine(String line) {
             write(FakeServer.chunk(line));
-            if (emptyLine != null) {
-                emptyLine.cancel(false);
-            }
+            cancelEmptyLine();
             emptyLine = scheduler.schedule(() -> writeLine("\n"), LINE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         }
 
@@ -64,12 +77,37 @@
             }
         }
 
+        private void cancelEmptyLine() {
+            if (emptyLine != null) {
+                emptyLine.cancel(false);
+            }
+        }
+
         private void deliverNext() {
             try {
                 wire.text(underway.remove());
             } catch (IOException callerLeft) {
-                open.remove(this);
-                emptyLine.cancel(false);
+                leave();
+            }
+        }
+
+        private void leave() {
+            open.remove(this);
+            cancelEmptyLine();
+        }
+
+        private void end() {
+            leave();
+            write(FakeServer.LAST_CHUNK);
+            ended.release();
+        }
+
+        private void reset() {
+            leave();
+            try {
+                wire.reset();
+            } catch (IOException callerLeft) {
+                // It is closed already.
             }
         }
     }
@@ -81,6 +119,14 @@
     private final List<Watch> calls = new ArrayList<>();
 
     private final List<Watch> open = new ArrayList<>();
+    /** What becomes of the next calls in turn, before the treatment of all further ones. */
+    private final Queue<CallTreatment> nextTreatments = new ArrayDeque<>();
+
+    private CallTreatment treatment = CallTreatment.ANSWERED;
+    private long answerAfterMillis;
+    /** One permit for each watch that has ended after its list. */
+    private final Semaphore ended = new Semaphore(0);
+
     private final FakeServer server;
     private final long startNanos = System.nanoTime();
     private volatile double stoodStillMillis;
@@ -93,7 +139,7 @@
     public PathDiscovery(EndpointRegistry registry, IntFunction<PathTreatment> paths) throws IOException {
         this.registry = registry;
         this.paths = paths;
-        this.server = new FakeServer((request, wire) -> scheduler.execute(() -> answer(request.line(), wire)));
+        this.server = new FakeServer((request, wire) -> scheduler.execute(() -> called(request.line(), wire)));
         PauseDetector.start(scheduler, MIN_PAUSE_MILLIS, millis -> stoodStillMillis += millis);
     }
 
@@ -101,9 +147,24 @@
         return (System.nanoTime() - startNanos) / (double) TimeUnit.MILLISECONDS.toNanos(1);
     }
 
-    private void answer(String requestLine, FakeServer.Connection wire) {
+    private void called(String requestLine, FakeServer.Connection wire) {
         Watch watch = new Watch(wire, new NetworkPath(paths.apply(calls.size()), now()));
         calls.add(watch);
+        CallTreatment treated = nextTreatments.isEmpty() ? treatment : nextTreatments.remove();
+        if (treated == CallTreatment.NEVER_ANSWERED) {
+            return;
+        }
+        if (answerAfterMillis > 0) {
+            scheduler.schedule(() -> answer(watch, requestLine), answerAfterMillis, TimeUnit.MILLISECONDS);
+        } else {
+            answer(watch, requestLine);
+        }
+        if (treated == CallTreatment.ENDED_AFTER_LIST) {
+            scheduler.schedule(watch::end, answerAfterMillis + END_AFTER_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void answer(Watch watch, String requestLine) {
         open.add(watch);
         Matcher after = AFTER.matcher(requestLine);
         boolean known = after.find() && Long.parseLong(after.group(1)) <= registry.version();
@@ -133,6 +194,48 @@
         });
     }
 
+    /** Does this between two calls and changes, such as several of the following together. */
+    public void run(Runnable changes) {
+        scheduler.execute(changes);
+    }
+
+    /** Does this after so long, like {@link #run}. */
+    public void runAfter(long millis, Runnable changes) {
+        scheduler.schedule(changes, millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Treats all calls like this from now on; to be called within {@link #run}. */
+    public void treatCalls(CallTreatment next) {
+        treatment = next;
+    }
+
+    /** Treats the next calls, so many of them, like this; to be called within {@link #run}. */
+    public void treatNextCalls(int count, CallTreatment next) {
+        nextTreatments.addAll(Collections.nCopies(count, next));
+    }
+
+    /** Answers each call after so long from now on; to be called within {@link #run}. */
+    public void answerCallsAfter(long millis) {
+        answerAfterMillis = millis;
+    }
+
+    /** Resets all open watches; to be called within {@link #run}. */
+    public void resetWatches() {
+        List.copyOf(open).forEach(Watch::reset);
+    }
+
+    /** Nothing arrives any more of what is written to the open watches; to be called within {@link #run}. */
+    public void darkenWatches() {
+        open.forEach(watch -> watch.path.goDark(now()));
+    }
+
+    /** Waits until another watch has ended after its list. */
+    public void awaitWatchEnded() throws InterruptedException {
+        if (!ended.tryAcquire(FakeServer.TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+            throw new AssertionError("no watch ended");
+        }
+    }
+
     /** Nothing arrives any more of what is written from now on to the first call. */
     public void darkenFirstPath() {
         scheduler.execute(() -> calls.get(0).path.goDark(now()));
