Pause no longer after short watches, in which discovery may answer for the last time

Callers saw requests go to an endpoint that drains for up to 10.1 s of 6.5, dozens a process. After the second watch in a row that ended within 2 s of its list, the next call waited for up to half of the term (2.9 s), as if discovery that answers now would answer later. In that pause the change was there to be fetched; when the call came, discovery was down.

The pause is gone: the end of a watch is followed by a call after the same backoff and spread as any other failure.

--- a/src/main/java/loadbalancer/policy/DiscoveryPollSchedule.java
+++ b/src/main/java/loadbalancer/policy/DiscoveryPollSchedule.java
@@ -42,9 +42,6 @@
     /** The shortest of the times over which calls are spread after a failure, as a fraction of the first spread. */
     private static final double MIN_FAILED_SPREAD_FRACTION = 0.35;
 
-    /** A watch that ends before its first empty line has shown only its first list. */
-    private static final double SHORT_WATCH_MILLIS = 2000;
-
     private final PolicySettings settings;
     private final SplittableRandom random;
     private final PolicyActions actions;
@@ -58,10 +55,6 @@
 
     private boolean polled;
     private int rejections;
-    /** Watches in a row that ended right after their first list. */
-    private int shortWatches;
-
-    private double firstListMillis = Double.NEGATIVE_INFINITY;
 
     DiscoveryPollSchedule(
             PolicySettings settings, ListCurrency currency, SplittableRandom random, PolicyActions actions) {
@@ -99,11 +92,6 @@
 
     /** The poll or the watch failed; backoff and spread are fitted into what is left until the next call is due. */
     void failed(double nowMillis) {
-        if (endedRightAfterFirstList(nowMillis)) {
-            double pauseMillis = currency.maxPauseAfterShortWatchMillis(nowMillis);
-            pollWithin(nowMillis + pauseMillis * MIN_BACKOFF_FACTOR, pauseMillis * (1 - MIN_BACKOFF_FACTOR));
-            return;
-        }
         double longestMillis = backoffMillis * MAX_BACKOFF_FACTOR + spreadMillis();
         double intervalMillis = Math.max(minPauseAfterFailureMillis(), currency.maxPauseAfterFailureMillis(nowMillis));
         double leftMillis = intervalMillis - Math.max(0, nowMillis - unansweredPollMillis);
@@ -116,18 +104,6 @@
         backoffMillis = Math.min(Math.min(MAX_BACKOFF_MILLIS, currency.callIntervalMillis()), backoffMillis * 2);
     }
 
-    // Once may be chance; a service that ends each watch so is polled as often as the term asks for.
-    private boolean endedRightAfterFirstList(double nowMillis) {
-        boolean answered = Double.isInfinite(unansweredPollMillis);
-        boolean shortWatch = answered && nowMillis - firstListMillis < SHORT_WATCH_MILLIS;
-        if (shortWatch) {
-            shortWatches++;
-        } else if (answered) {
-            shortWatches = 0;
-        }
-        return shortWatch && shortWatches > 1;
-    }
-
     /**
      * The service rejected a call. If it is overloaded, calls that come as fast as before are rejected as well, and the
      * time that it spends on them is lost for all: so they are spread wider after each rejection.
@@ -144,13 +120,10 @@
     }
 
     /** A current list, or changes to it, arrived. */
-    void listReceived(double nowMillis) {
+    void listReceived() {
         if (!polled) {
             return;
         }
-        if (Double.isFinite(unansweredPollMillis)) {
-            firstListMillis = nowMillis;
-        }
         if (backoffMillis > MIN_BACKOFF_MILLIS || rejections > 0) {
             actions.log("endpoint list available again");
         }
--- a/src/main/java/loadbalancer/policy/ListCurrency.java
+++ b/src/main/java/loadbalancer/policy/ListCurrency.java
@@ -98,11 +98,6 @@
         return budget.usableMillis();
     }
 
-    /** Returns the longest pause after a watch that ended right after its first list. */
-    double maxPauseAfterShortWatchMillis(double nowMillis) {
-        return budget.maxPauseAfterShortWatchMillis(remainingMillis(nowMillis));
-    }
-
     /** Returns how late a path may be without a call that confirms its watch. */
     double acceptedPathDelayMillis(boolean localAgent) {
         return localAgent ? budget.acceptedAgentPathDelayMillis() : budget.acceptedPathDelayMillis();
--- a/src/main/java/loadbalancer/policy/LossThrottlingPolicy.java
+++ b/src/main/java/loadbalancer/policy/LossThrottlingPolicy.java
@@ -120,7 +120,7 @@
             case SNAPSHOT, DELTA -> {
                 // A watch that has been silent brings changes late, and says nothing of how current the list is.
                 if (currency.reliable()) {
-                    polls.listReceived(nowMillis);
+                    polls.listReceived();
                 }
                 updateEndpoints(nowMillis, event == WatchEvent.SNAPSHOT, entries);
             }
--- a/src/main/java/loadbalancer/policy/NotificationBudget.java
+++ b/src/main/java/loadbalancer/policy/NotificationBudget.java
@@ -41,9 +41,6 @@
     /** What is left then suffices for one call that is nearly rejected. */
     private static final double ACCEPTED_AGE_FRACTION = 0.5;
 
-    /** A list was current when its watch ended right after it; what is left after this pause suffices for a call. */
-    private static final double SHORT_WATCH_PAUSE_FRACTION = 0.5;
-
     private final double usableMillis;
     private final double drainGraceMillis;
 
@@ -95,11 +92,6 @@
         return Math.min(callIntervalMillis(), first * Math.pow(AGENT_INTERVAL_GROWTH, unansweredCalls));
     }
 
-    /** Returns the longest pause after a watch that ended right after its first list, by the time that is left. */
-    double maxPauseAfterShortWatchMillis(double remainingMillis) {
-        return Math.max(MIN_INTERVAL_MILLIS, remainingMillis * SHORT_WATCH_PAUSE_FRACTION);
-    }
-
     /** Returns how late a path may be without a call that confirms its watch. */
     double acceptedPathDelayMillis() {
         return usableMillis * ACCEPTED_PATH_DELAY_FRACTION;
--- a/src/test/java/loadbalancer/discovery/ModelledSidecar.java
+++ b/src/test/java/loadbalancer/discovery/ModelledSidecar.java
@@ -19,6 +19,8 @@
     record Call(ModelledSidecar caller, CallState state, double madeAtMillis, boolean[] answered) {}
 
     private static final double CHANGE_INTERVAL_MILLIS = 500;
+    /** From the list of a watch to its end, where watches end. */
+    private static final double WATCH_LIFE_MILLIS = 200;
 
     private final ModelledDiscovery discovery;
     private final LossThrottlingPolicy policy;
@@ -34,6 +36,8 @@
     private double nextCheckMillis;
     private double now;
     private double listedAtMillis = Double.NaN;
+    private boolean watchesEnd;
+    private double watchEndMillis = Double.POSITIVE_INFINITY;
 
     ModelledSidecar(ModelledDiscovery discovery, PolicySettings settings, long seed) {
         this.discovery = discovery;
@@ -56,6 +60,10 @@
             policy.wake(now);
         }
         now = nowMillis;
+        if (watch != null && now >= watchEndMillis) {
+            watchEndMillis = Double.POSITIVE_INFINITY;
+            failWatch();
+        }
         if (watch != null && watch != silencedWatch) {
             readWatch();
         }
@@ -80,6 +88,12 @@
         changing = isChanging;
     }
 
+    /** From now on each watch ends soon after its list, in order. */
+    void endWatches() {
+        watchesEnd = true;
+        watchEndMillis = now;
+    }
+
     private void check() {
         if (schedule.unattendedSilentWatch(now) != null && !silenceReported) {
             silenceReported = true;
@@ -131,6 +145,10 @@
             }
         }
         watch = state;
+        if (watchesEnd) {
+            listedAtMillis = now;
+            watchEndMillis = now + WATCH_LIFE_MILLIS;
+        }
         policy.endpointsChanged(now, WatchEvent.SNAPSHOT, List.of());
     }
 
