Let an answer that is no better than the watch end the growth of the agent's interval

CallSchedule counts the calls since the last answer, and the interval to the next call to an agent doubles with each; the count went back only when a call became the watch. A confirming call that is answered and not better counted as unanswered: after ten quiet seconds the first retry came after 2.2 s. Now each answer sets count and patience back.

CallScheduleTest.answerThatIsNoBetterThanWatchEndsGrowthOfInterval fails without it. It makes no call later or rarer: intervals are those after a first call.

--- a/src/main/java/loadbalancer/discovery/CallSchedule.java
+++ b/src/main/java/loadbalancer/discovery/CallSchedule.java
@@ -101,8 +101,9 @@
         return newer || nowMillis - call.sentMillis() < watch.evidence().delayBoundMillis();
     }
 
-    /** Lets the calls that wait count no longer, and returns them. */
+    /** A call has brought its first list, be it the watch or not: lets those that wait count no longer, and returns them. */
     List<CallState> supersedeWaiting() {
+        resetPatience();
         List<CallState> others = new ArrayList<>(waiting);
         waiting.clear();
         return others;
@@ -175,7 +176,6 @@
         }
         watch = call;
         call.markWatching(nowMillis);
-        resetPatience();
         return others;
     }
 }
--- a/src/test/java/loadbalancer/discovery/CallScheduleTest.java
+++ b/src/test/java/loadbalancer/discovery/CallScheduleTest.java
@@ -152,6 +152,22 @@
         assertEquals(2, schedule.answered(second, 3 * INTERVAL_MILLIS).size());
     }
 
+    // Guards against an interval between calls to a local agent that has grown though each call was answered.
+    @Test
+    void answerThatIsNoBetterThanWatchEndsGrowthOfInterval() {
+        CallSchedule agentCalls = new CallSchedule(currency, true, 1);
+        CallState watch = begin(agentCalls, 0);
+        agentCalls.answered(watch, 0);
+        for (int call = 1; call <= 4; call++) {
+            CallState confirming = begin(agentCalls, 2200 * call);
+            agentCalls.ended(confirming);
+            agentCalls.supersedeWaiting();
+        }
+        agentCalls.ended(watch);
+        begin(agentCalls, 10_000);
+        assertTrue(agentCalls.callDue(10_000 + currency.agentCallIntervalMillis(0)));
+    }
+
     private CallState watchAnsweredAfter(double delayMillis) {
         CallState watch = begin(0);
         schedule.answered(watch, delayMillis);
