Call a silent agent at a constant interval, by a timer of its own

Two faults of one wait: the interval between calls to an agent doubled with each unanswered one, up to 2.2 s, as if an agent that does not answer now could not answer a moment later; and a call began only at the check each 100 ms, which added to each wait. A failed call was followed by one of another owner, WatchBackoff, whose delay doubled as well.

Now a call begins a fifth of the grace (50 to 150 ms) after the beginning of the last one, whatever became of that, by a timer; WatchBackoff is gone. More calls may be left unattended (16 for 8), so that each is read for a grace at least. The delay of a path that is accepted stays at 0.3 of the grace.

CallScheduleTest and DiscoveryCallsTest held the growth and the backoff; they hold the constant interval now.

--- a/src/main/java/loadbalancer/discovery/CallSchedule.java
+++ b/src/main/java/loadbalancer/discovery/CallSchedule.java
@@ -33,8 +33,8 @@
     /** The open watch, or null. */
     private CallState watch;
 
+    private double lastBegunMillis = Double.NEGATIVE_INFINITY;
     private double nextCallAtMillis;
-    private int unansweredCalls;
     private double patienceMillis;
 
     /**
@@ -52,7 +52,6 @@
 
     private void resetPatience() {
         patienceMillis = PATIENCE_INTERVALS * currency.callIntervalMillis();
-        unansweredCalls = 0;
     }
 
     /** Returns true if no call waits, and no watch is open that can be relied on. */
@@ -131,6 +130,7 @@
     CallState begin(double nowMillis, double random) {
         CallState call = new CallState(nowMillis, random);
         waiting.add(call);
+        lastBegunMillis = nowMillis;
         if (watchReliable(nowMillis)) {
             confirmation.begun(nowMillis);
         }
@@ -146,11 +146,20 @@
 
     private void scheduleNext(double nowMillis) {
         double intervalMillis =
-                localAgent ? currency.agentCallIntervalMillis(unansweredCalls) : currency.callIntervalMillis(nowMillis);
-        unansweredCalls++;
+                localAgent ? currency.agentCallIntervalMillis() : currency.callIntervalMillis(nowMillis);
         nextCallAtMillis = nowMillis + intervalMillis;
     }
 
+    /** Returns when a call begins beside those that wait, unless one of them is answered. */
+    double nextCallAtMillis() {
+        return nextCallAtMillis;
+    }
+
+    /** Returns when a call to a local agent begins if none waits any more. */
+    double nextAgentCallMillis(double nowMillis) {
+        return Math.max(nowMillis, lastBegunMillis + currency.agentCallIntervalMillis());
+    }
+
     /** A call was given up without an answer: the service may need longer than that. */
     void givenUp(CallState call, double nowMillis) {
         if (call.ageMillis(nowMillis) >= patienceMillis) {
--- a/src/main/java/loadbalancer/discovery/DiscoveryCalls.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryCalls.java
@@ -15,7 +15,7 @@
  */
 final class DiscoveryCalls {
     /** Of those that are superseded or abandoned; the one that began first is closed. */
-    private static final int MAX_UNATTENDED = 8;
+    private static final int MAX_UNATTENDED = 16;
 
     /** Makes a call that is being connected. */
     interface Connector {
--- a/src/main/java/loadbalancer/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryClient.java
@@ -32,6 +32,7 @@
     private static final int NO_CONNECT_TIMEOUT = 0;
 
     private static final long CHECK_INTERVAL_MILLIS = 100;
+    private static final double NANOS_PER_MILLI = 1e6;
     /** For how many of the longest intervals a call stays open that is no longer waited for. */
     private static final int MAX_UNATTENDED_INTERVALS = 3;
 
@@ -39,7 +40,6 @@
     private final Clock clock;
     private final boolean pushed;
     private final Random random;
-    private final WatchBackoff backoff;
     private final Listener listener;
     private final DiscoveryLog discoveryLog;
     private final ListCurrency currency;
@@ -66,7 +66,6 @@
         this.listener = listener;
         this.currency = settings.currency();
         this.random = new Random(settings.seed());
-        this.backoff = new WatchBackoff(settings.policySettings().rules().drainGraceMillis(), random);
         this.discoveryLog = new DiscoveryLog(clock, currency, log);
         this.schedule =
                 new CallSchedule(currency, pushed, settings.policySettings().sidecarCount());
@@ -101,12 +100,28 @@
             // After a late turn, what has come may not have been read yet.
             SelectBarrier.runAfterSelect(loop, this::attendToCalls);
         } else if (schedule.confirmationDue(now, random.nextDouble())) {
-            calls.open(address, receiver.version());
+            open();
         }
         calls.closeExpired();
         discoveryLog.tick();
     }
 
+    private void open() {
+        calls.open(address, receiver.version());
+        after(schedule.nextCallAtMillis(), this::attendIfCallDue);
+    }
+
+    private void after(double atMillis, Runnable task) {
+        double delayMillis = Math.max(0, atMillis - clock.now());
+        loop.schedule(task, (long) Math.ceil(delayMillis * NANOS_PER_MILLI), TimeUnit.NANOSECONDS);
+    }
+
+    private void attendIfCallDue() {
+        if (schedule.callDue(clock.now())) {
+            SelectBarrier.runAfterSelect(loop, this::attendToCalls);
+        }
+    }
+
     private void attendToCalls() {
         double now = clock.now();
         CallState silent = schedule.unattendedSilentWatch(now);
@@ -117,7 +132,7 @@
             discoveryLog.callEnded(CallEnd.SILENT, silent.ageMillis(now));
             renewWatch(WatchEvent.IDLE_TIMEOUT);
         } else if (schedule.callDue(now)) {
-            calls.open(address, receiver.version());
+            open();
         }
     }
 
@@ -132,14 +147,13 @@
     /** Starts a watch, unless one is open that can be relied on, or a call waits for its first list. */
     public void watch() {
         if (schedule.callNeeded(clock.now())) {
-            calls.open(address, receiver.version());
+            open();
         }
     }
 
     /**
      * Moves the watch to another address; the old list stays in use until the new one arrives. A snapshot is
-     * requested, since another service may count its versions differently and no change must be missed. The backoff
-     * starts over, so that failures at the old address delay nothing at the new one.
+     * requested, since another service may count its versions differently and no change must be missed.
      */
     public void migrate(InetSocketAddress newAddress) {
         if (newAddress.equals(address)) {
@@ -147,24 +161,17 @@
         }
         address = newAddress;
         receiver.requireSnapshot();
-        backoff.reset();
         currency.moved(clock.now());
         calls.abandonAll();
         calls.resume(newAddress, receiver.listCameMillis());
         renewWatch(WatchEvent.MOVED);
     }
 
-    /** Returns the backoff between calls to an agent that pushes lists. */
-    WatchBackoff backoff() {
-        return backoff;
-    }
-
     /** Renews the watch when a call ends. */
     private final class CallListener implements EndpointListReceiver.CallListener {
         @Override
         public void callAnswered() {
             silenceReported = false;
-            backoff.reset();
         }
 
         // Another call may still be answered, or be followed by one in its time.
@@ -174,7 +181,7 @@
                 return;
             }
             if (pushed) {
-                loop.schedule(DiscoveryClient.this::watch, (long) backoff.nextDelayMillis(), TimeUnit.MILLISECONDS);
+                after(schedule.nextAgentCallMillis(clock.now()), DiscoveryClient.this::watch);
             } else {
                 listener.watchFailed(end == CallEnd.REJECTED ? WatchEvent.REJECTED : WatchEvent.FAILED);
             }
--- a/src/main/java/loadbalancer/policy/ListCurrency.java
+++ b/src/main/java/loadbalancer/policy/ListCurrency.java
@@ -88,9 +88,9 @@
         return budget.callIntervalMillis(remainingMillis(nowMillis));
     }
 
-    /** Returns the same for calls to a local agent, after so many unanswered ones before. */
-    public double agentCallIntervalMillis(int unansweredCalls) {
-        return budget.agentCallIntervalMillis(unansweredCalls);
+    /** Returns how long after the beginning of a call to a local agent the next one begins, without a watch. */
+    public double agentCallIntervalMillis() {
+        return budget.agentCallIntervalMillis();
     }
 
     /** Returns the time within which a list has to be in force. */
--- a/src/main/java/loadbalancer/policy/NotificationBudget.java
+++ b/src/main/java/loadbalancer/policy/NotificationBudget.java
@@ -29,11 +29,14 @@
     /** A crowded service that answers in time lets a call wait for about so long. */
     private static final double MIN_UNANSWERED_MILLIS = 1100;
 
-    /** A local agent serves this sidecar alone; a lost call to it must not use up the grace period. */
-    private static final double AGENT_INTERVAL_GRACE_FRACTION = 0.3;
+    /** A local agent serves this sidecar alone; three lost calls to it must not use up the grace period. */
+    private static final double AGENT_INTERVAL_GRACE_FRACTION = 0.2;
 
     private static final double MIN_AGENT_INTERVAL_MILLIS = 50;
-    private static final double AGENT_INTERVAL_GROWTH = 2;
+    private static final double MAX_AGENT_INTERVAL_MILLIS = 150;
+
+    private static final double ACCEPTED_AGENT_DELAY_GRACE_FRACTION = 0.3;
+    private static final double MIN_ACCEPTED_AGENT_DELAY_MILLIS = 50;
 
     /** A silent watch on a path that is late by so much is noticed early enough for two further calls. */
     private static final double ACCEPTED_PATH_DELAY_FRACTION = 0.125;
@@ -82,14 +85,10 @@
         return clamp(remainingMillis * INTERVAL_FRACTION, MIN_INTERVAL_MILLIS, callIntervalMillis());
     }
 
-    /**
-     * Returns the time from the beginning of an unanswered call to a local agent to that of the next one.
-     *
-     * @param unansweredCalls the calls before this one since the last answer
-     */
-    double agentCallIntervalMillis(int unansweredCalls) {
-        double first = Math.max(MIN_AGENT_INTERVAL_MILLIS, drainGraceMillis * AGENT_INTERVAL_GRACE_FRACTION);
-        return Math.min(callIntervalMillis(), first * Math.pow(AGENT_INTERVAL_GROWTH, unansweredCalls));
+    /** Returns the time from the beginning of a call to a local agent to that of the next one, without a watch. */
+    double agentCallIntervalMillis() {
+        return clamp(
+                drainGraceMillis * AGENT_INTERVAL_GRACE_FRACTION, MIN_AGENT_INTERVAL_MILLIS, MAX_AGENT_INTERVAL_MILLIS);
     }
 
     /** Returns how late a path may be without a call that confirms its watch. */
@@ -99,7 +98,7 @@
 
     /** Returns the same for a watch on a local agent, whose lists count as known at once. */
     double acceptedAgentPathDelayMillis() {
-        return agentCallIntervalMillis(0);
+        return Math.max(MIN_ACCEPTED_AGENT_DELAY_MILLIS, drainGraceMillis * ACCEPTED_AGENT_DELAY_GRACE_FRACTION);
     }
 
     /** Returns how long ago the list may have been complete for sure without a call that confirms its watch. */
--- a/src/test/java/loadbalancer/discovery/CallScheduleTest.java
+++ b/src/test/java/loadbalancer/discovery/CallScheduleTest.java
@@ -17,6 +17,7 @@
     private static final double TERM_MILLIS = 5850;
     private static final double INTERVAL_MILLIS = 0.375 * TERM_MILLIS;
     private static final double LONGEST_SILENCE_MILLIS = 2750;
+    private static final double AGENT_INTERVAL_MILLIS = 100;
     /** The call after one that was not answered in three eighths of the term, by what is left of it. */
     private static final double SECOND_INTERVAL_MILLIS = 0.375 * (TERM_MILLIS - INTERVAL_MILLIS);
 
@@ -63,15 +64,16 @@
         assertTrue(schedule.callDue(TERM_MILLIS + 1 + INTERVAL_MILLIS));
     }
 
-    // A lost call must not use up the grace of 500 ms; an agent that is gone is not called without a pause.
+    // Guards against an interval that grows while an agent is silent; three lost calls fit into the grace of 500 ms.
     @Test
-    void callsToLocalAgentBeginFastAndBackOff() {
+    void callsToLocalAgentBeginAtEachInterval() {
         CallSchedule agent = new CallSchedule(currency, true, 1);
         double atMillis = 0;
-        for (double intervalMillis : new double[] {150, 300, 600, 1200, INTERVAL_MILLIS, INTERVAL_MILLIS}) {
+        for (int call = 0; call < 600; call++) {
             begin(agent, atMillis);
-            assertFalse(agent.callDue(atMillis + intervalMillis - 1));
-            atMillis += intervalMillis;
+            assertFalse(agent.callDue(atMillis + AGENT_INTERVAL_MILLIS - 1));
+            assertEquals(atMillis + AGENT_INTERVAL_MILLIS, agent.nextAgentCallMillis(atMillis + 1));
+            atMillis += AGENT_INTERVAL_MILLIS;
             assertTrue(agent.callDue(atMillis));
         }
     }
@@ -165,7 +167,7 @@
         }
         agentCalls.ended(watch);
         begin(agentCalls, 10_000);
-        assertTrue(agentCalls.callDue(10_000 + currency.agentCallIntervalMillis(0)));
+        assertTrue(agentCalls.callDue(10_000 + currency.agentCallIntervalMillis()));
     }
 
     private CallState watchAnsweredAfter(double delayMillis) {
--- a/src/test/java/loadbalancer/discovery/DiscoveryCallsTest.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryCallsTest.java
@@ -16,6 +16,9 @@
 
 /** When further calls begin beside those that wait or a watch that is silent, and which of them end. */
 class DiscoveryCallsTest {
+    /** The longest one: the drain grace period of these settings is 2 s. */
+    private static final long AGENT_INTERVAL_MILLIS = 150;
+
     private final DiscoveryClientFixture fixture = new DiscoveryClientFixture();
 
     @AfterEach
@@ -332,18 +335,21 @@
     }
 
     @Test
-    void renewsUnansweredPushedWatchAndBoundsBackoff() throws Exception {
+    void callsLocalAgentAtEachIntervalWhateverBecomesOfCalls() throws Exception {
         try (FakeServer service = fixture.newService()) {
             fixture.start(service, "push");
-            fixture.nextCall();
-            fixture.advance(2200);
+            for (int call = 0; call < 30; call++) {
+                FakeServer.Connection connection = fixture.nextCall();
+                switch (call % 3) {
+                    case 0 -> connection.reset();
+                    case 1 -> connection.answer("503 Busy", "", "");
+                    default -> {}
+                }
+                fixture.awaitLoop();
+                fixture.advance(AGENT_INTERVAL_MILLIS);
+            }
             fixture.nextCall().text(HEAD + chunk(list(50, true, "a")));
             assertEquals("SNAPSHOT 50 [a]", fixture.nextEvent());
-            for (int i = 0; i < 50; i++) {
-                double delayMillis = fixture.nextBackoffMillis();
-                // The drain grace period of these settings is 2 s.
-                assertTrue(delayMillis <= 600, "waits " + delayMillis);
-            }
         }
     }
 }
--- a/src/test/java/loadbalancer/discovery/DiscoveryClientFixture.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryClientFixture.java
@@ -98,10 +98,6 @@
                 .get();
     }
 
-    double nextBackoffMillis() throws Exception {
-        return loop.submit(() -> client.backoff().nextDelayMillis()).get();
-    }
-
     void advance(long millis) {
         nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
     }
