Give a call its role as the watch before those beside it are left

The role is set first now.

DiscoveryCallsTest.keepsAnsweredCallThatWasLongSuperseded fails without it.

--- a/src/main/java/loadbalancer/discovery/DiscoveryCalls.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryCalls.java
@@ -132,8 +132,8 @@
         if (schedule.watchReliable(now)) {
             log.watchReplaced(state.ageMillis(now));
         }
-        schedule.answered(state, now).forEach(this::supersede);
         state.setRole(CallRole.WATCH);
+        schedule.answered(state, now).forEach(this::supersede);
     }
 
     private void supersede(CallState call) {
--- a/src/test/java/loadbalancer/discovery/DiscoveryCallsTest.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryCallsTest.java
@@ -147,6 +147,26 @@
         }
     }
 
+    // Guards against closing the call that has just become the watch as the oldest of those that nobody waits for.
+    @Test
+    void keepsAnsweredCallThatWasLongSuperseded() throws Exception {
+        try (FakeServer service = fixture.newService()) {
+            fixture.start(service, "push");
+            FakeServer.Connection oldestSuperseded = null;
+            for (int call = 0; call < 18; call++) {
+                FakeServer.Connection next = fixture.nextCall();
+                oldestSuperseded = call == 2 ? next : oldestSuperseded;
+                fixture.advance(AGENT_INTERVAL_MILLIS);
+            }
+            fixture.nextCall();
+            oldestSuperseded.text(HEAD + chunk(list(50, true, "a")));
+            assertEquals("SNAPSHOT 50 [a]", fixture.nextEvent());
+            service.awaitClose();
+            oldestSuperseded.text(chunk(list(51, false, "b")));
+            assertEquals("DELTA 51 [b]", fixture.nextEvent());
+        }
+    }
+
     @Test
     void givesUpOldestCallAfterThreeIntervals() throws Exception {
         try (FakeServer service = fixture.newService()) {
