Decide in one place when the next call to discovery begins, by who serves it and how many call

Four places decided it: DiscoveryPollSchedule after failures and rejections, CallSchedule beside unanswered calls, WatchBackoff for agents, WatchConfirmation beside a late watch. Each had counters of its own, and each set waits by the length of the term, as if discovery that answers now would answer later. Now DiscoveryCallSchedule in the policy is told what becomes of calls and watch and says when the next call begins; its pauses are LocalAgentPacing, SmallFleetPacing (8 callers or fewer) and LargeFleetPacing. Small fleets count nothing: a call follows the end of the last one after 0.1 to 0.28 s (0.15 to 0.55 s after a rejection), whatever that one brought, where it was up to 1.5 s of backoff. The backoff and the rejections of large fleets go back at an answer, a list, a silence and a move; a test names each. Renewing a pushed watch goes the way of a polled one, through the policy; LossThrottlingPolicy has one delegation. CallSchedule keeps what is left, as WaitingCalls.

The pauses in DiscoveryPollScheduleTest are in DiscoveryCallScheduleTest now, those of a growing backoff with a fleet of 9, since one of 8 has none.

--- a/src/main/java/loadbalancer/discovery/DiscoveryCalls.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryCalls.java
@@ -25,7 +25,7 @@
     private final EventLoop loop;
     private final Connector connector;
     private final Clock clock;
-    private final CallSchedule schedule;
+    private final WaitingCalls waitingCalls;
     private final DiscoveryLog log;
     private final Random random;
     private final double maxUnattendedAgeMillis;
@@ -41,14 +41,14 @@
             EventLoop loop,
             Connector connector,
             Clock clock,
-            CallSchedule schedule,
+            WaitingCalls waitingCalls,
             DiscoveryLog log,
             Random random,
             double maxUnattendedAgeMillis) {
         this.loop = loop;
         this.connector = connector;
         this.clock = clock;
-        this.schedule = schedule;
+        this.waitingCalls = waitingCalls;
         this.log = log;
         this.random = random;
         this.maxUnattendedAgeMillis = maxUnattendedAgeMillis;
@@ -61,11 +61,11 @@
      */
     void open(InetSocketAddress address, Long version) {
         double now = clock.now();
-        CallState replaced = schedule.replaceable(now);
+        CallState replaced = waitingCalls.replaceable(now);
         if (replaced != null) {
             giveUp(replaced, now);
         }
-        CallState state = schedule.begin(now, random.nextDouble());
+        CallState state = waitingCalls.begin(now, random.nextDouble());
         log.callBegun();
         calls.add(connector.connect(address, version, state));
     }
@@ -73,7 +73,7 @@
     private void giveUp(CallState state, double now) {
         log.callEnded(state.silence(), state.ageMillis(now));
         boolean outOfDate = state.stalled(now) || state.ageMillis(now) > maxUnattendedAgeMillis;
-        schedule.givenUp(state, now);
+        waitingCalls.givenUp(state, now);
         if (outOfDate) {
             close(find(state));
         } else {
@@ -93,14 +93,14 @@
     /** Closes a call that has ended by itself. */
     void ended(WatchCall call) {
         calls.remove(call);
-        schedule.ended(call.state());
+        waitingCalls.ended(call.state());
         call.close();
     }
 
     /** Closes a call once what has come on it by now is read. */
     void close(WatchCall call) {
         calls.remove(call);
-        schedule.ended(call.state());
+        waitingCalls.ended(call.state());
         call.state().setRole(CallRole.ABANDONED);
         SelectBarrier.runAfterSelect(loop, call::close);
     }
@@ -123,17 +123,17 @@
     void answered(WatchCall call, boolean newer) {
         double now = clock.now();
         CallState state = call.state();
-        if (!schedule.better(state, newer, now)) {
+        if (!waitingCalls.better(state, newer, now)) {
             state.markWatching(now);
             close(call);
-            schedule.supersedeWaiting().forEach(this::supersede);
+            waitingCalls.supersedeWaiting().forEach(this::supersede);
             return;
         }
-        if (schedule.watchReliable(now)) {
+        if (waitingCalls.watchReliable(now)) {
             log.watchReplaced(state.ageMillis(now));
         }
         state.setRole(CallRole.WATCH);
-        schedule.answered(state, now).forEach(this::supersede);
+        waitingCalls.answered(state, now).forEach(this::supersede);
     }
 
     private void supersede(CallState call) {
@@ -154,7 +154,7 @@
             if (state.role() == CallRole.WATCH) {
                 close(call);
             } else if (state.role() != CallRole.ABANDONED) {
-                schedule.ended(state);
+                waitingCalls.ended(state);
                 leave(state, CallRole.ABANDONED);
             }
         }
@@ -171,7 +171,7 @@
             boolean based = call.knownVersion() == null || state.begunAtMillis() >= listCameMillis;
             if (call.address().equals(address) && !state.watching() && based) {
                 state.setRole(CallRole.WAITING);
-                schedule.resume(state, clock.now());
+                waitingCalls.resume(state, clock.now());
                 return;
             }
         }
--- a/src/main/java/loadbalancer/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryClient.java
@@ -11,12 +11,14 @@
 import java.util.function.Consumer;
 import loadbalancer.eventloop.Clock;
 import loadbalancer.eventloop.SelectBarrier;
+import loadbalancer.policy.DiscoveryCallSchedule;
 import loadbalancer.policy.ListCurrency;
 import loadbalancer.policy.WatchEvent;
 
 /**
- * Watches the endpoint list of the discovery service. Where lists are polled, the policy decides when to watch again
- * after a failure; where they are pushed, the watch on the local agent is renewed here. Runs on the event loop.
+ * Watches the endpoint list of the discovery service, or of the local agent that pushes its lists. The policy asks for a
+ * call when there is no watch; further calls beside the open ones begin here, by the same schedule. Runs on the event
+ * loop.
  */
 public final class DiscoveryClient {
     /** Is notified of endpoint lists, and of the end of a watch. */
@@ -28,7 +30,7 @@
         void watchFailed(WatchEvent reason);
     }
 
-    /** A call that has not connected waits like one that has not been answered: {@link CallSchedule} gives it up. */
+    /** A call that has not connected waits like one that has not been answered: {@link WaitingCalls} gives it up. */
     private static final int NO_CONNECT_TIMEOUT = 0;
 
     private static final long CHECK_INTERVAL_MILLIS = 100;
@@ -38,12 +40,12 @@
 
     private final EventLoop loop;
     private final Clock clock;
-    private final boolean pushed;
     private final Random random;
     private final Listener listener;
     private final DiscoveryLog discoveryLog;
     private final ListCurrency currency;
-    private final CallSchedule schedule;
+    private final DiscoveryCallSchedule schedule;
+    private final WaitingCalls waitingCalls;
     private final DiscoveryCalls calls;
     private final EndpointListReceiver receiver;
     private InetSocketAddress address;
@@ -62,13 +64,12 @@
         this.loop = loop;
         this.clock = clock;
         this.address = settings.address();
-        this.pushed = !settings.policySettings().endpointListPolled();
         this.listener = listener;
-        this.currency = settings.currency();
+        this.schedule = settings.schedule();
+        this.currency = schedule.currency();
         this.random = new Random(settings.seed());
         this.discoveryLog = new DiscoveryLog(clock, currency, log);
-        this.schedule =
-                new CallSchedule(currency, pushed, settings.policySettings().sidecarCount());
+        this.waitingCalls = new WaitingCalls(schedule);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(channels)
@@ -77,7 +78,7 @@
                 loop,
                 (to, version, state) -> connect(bootstrap, mapper, to, version, state),
                 clock,
-                schedule,
+                waitingCalls,
                 discoveryLog,
                 random,
                 MAX_UNATTENDED_INTERVALS * currency.callIntervalMillis());
@@ -96,10 +97,10 @@
 
     private void checkCalls() {
         double now = clock.now();
-        if (schedule.unattendedSilentWatch(now) != null || schedule.callDue(now)) {
+        if (waitingCalls.unattendedSilentWatch(now) != null || waitingCalls.callDue(now)) {
             // After a late turn, what has come may not have been read yet.
             SelectBarrier.runAfterSelect(loop, this::attendToCalls);
-        } else if (schedule.confirmationDue(now, random.nextDouble())) {
+        } else if (waitingCalls.confirmationDue(now, random.nextDouble())) {
             open();
         }
         calls.closeExpired();
@@ -108,7 +109,7 @@
 
     private void open() {
         calls.open(address, receiver.version());
-        after(schedule.nextCallAtMillis(), this::attendIfCallDue);
+        after(schedule.callBesideMillis(), this::attendIfCallDue);
     }
 
     private void after(double atMillis, Runnable task) {
@@ -117,36 +118,28 @@
     }
 
     private void attendIfCallDue() {
-        if (schedule.callDue(clock.now())) {
+        if (waitingCalls.callDue(clock.now())) {
             SelectBarrier.runAfterSelect(loop, this::attendToCalls);
         }
     }
 
     private void attendToCalls() {
         double now = clock.now();
-        CallState silent = schedule.unattendedSilentWatch(now);
+        CallState silent = waitingCalls.unattendedSilentWatch(now);
         if (silent != null && !silenceReported) {
             // It stays open until another call is answered: it may only be late.
             silenceReported = true;
             currency.watchFellSilent();
             discoveryLog.callEnded(CallEnd.SILENT, silent.ageMillis(now));
-            renewWatch(WatchEvent.IDLE_TIMEOUT);
-        } else if (schedule.callDue(now)) {
+            listener.watchFailed(WatchEvent.IDLE_TIMEOUT);
+        } else if (waitingCalls.callDue(now)) {
             open();
         }
     }
 
-    private void renewWatch(WatchEvent reason) {
-        if (pushed) {
-            watch();
-        } else {
-            listener.watchFailed(reason);
-        }
-    }
-
     /** Starts a watch, unless one is open that can be relied on, or a call waits for its first list. */
     public void watch() {
-        if (schedule.callNeeded(clock.now())) {
+        if (waitingCalls.callNeeded(clock.now())) {
             open();
         }
     }
@@ -164,7 +157,7 @@
         currency.moved(clock.now());
         calls.abandonAll();
         calls.resume(newAddress, receiver.listCameMillis());
-        renewWatch(WatchEvent.MOVED);
+        listener.watchFailed(WatchEvent.MOVED);
     }
 
     /** Renews the watch when a call ends. */
@@ -177,14 +170,10 @@
         // Another call may still be answered, or be followed by one in its time.
         @Override
         public void callEnded(CallEnd end) {
-            if (!schedule.callNeeded(clock.now())) {
+            if (!waitingCalls.callNeeded(clock.now())) {
                 return;
             }
-            if (pushed) {
-                after(schedule.nextAgentCallMillis(clock.now()), DiscoveryClient.this::watch);
-            } else {
-                listener.watchFailed(end == CallEnd.REJECTED ? WatchEvent.REJECTED : WatchEvent.FAILED);
-            }
+            listener.watchFailed(end == CallEnd.REJECTED ? WatchEvent.REJECTED : WatchEvent.FAILED);
         }
     }
 }
--- a/src/main/java/loadbalancer/discovery/DiscoverySettings.java
+++ b/src/main/java/loadbalancer/discovery/DiscoverySettings.java
@@ -1,7 +1,7 @@
 package loadbalancer.discovery;
 
 import java.net.InetSocketAddress;
-import loadbalancer.policy.ListCurrency;
+import loadbalancer.policy.DiscoveryCallSchedule;
 import loadbalancer.policy.PolicySettings;
 
 /**
@@ -11,11 +11,11 @@
  * @param policySettings says whether lists are pushed, and how long a draining endpoint may still be used
  * @param seed seed of the random idle timeouts and backoff delays
  * @param lastKnownList the list of which to receive changes, or null if there is none
- * @param currency is told as of when lists are current, and says when calls are due
+ * @param schedule says when calls begin, and is told what becomes of them
  */
 public record DiscoverySettings(
         InetSocketAddress address,
         PolicySettings policySettings,
         long seed,
         EndpointList lastKnownList,
-        ListCurrency currency) {}
+        DiscoveryCallSchedule schedule) {}
--- a/src/main/java/loadbalancer/discovery/CallSchedule.java
+++ b/src/main/java/loadbalancer/discovery/WaitingCalls.java
@@ -2,19 +2,20 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import loadbalancer.policy.ListCurrency;
-import loadbalancer.policy.WatchConfirmation;
+import loadbalancer.policy.DiscoveryCallSchedule;
+import loadbalancer.policy.WatchEvidence;
 
 /**
- * Decides when another call to discovery begins beside one that has not been answered, and which call is given up for
- * it. Does no I/O and reads no clock; times are in milliseconds.
+ * The calls to discovery that wait for their first list, and the open watch: decides which call is given up for another
+ * one, and which is the watch. {@link DiscoveryCallSchedule} says when one begins. Does no I/O and reads no clock; times
+ * are in milliseconds.
  *
  * <p>Discovery handles calls in turn, so that a call given up loses its place in the queue; but a call may also have
  * got lost. So a few calls wait side by side: the oldest is kept for as long as it may still get its turn, and when
  * there are too many the newest is replaced. An open watch that has been silent stays open beside them, since it may
  * still bring changes, but it ends none of them.
  */
-final class CallSchedule {
+final class WaitingCalls {
     private static final int MAX_WAITING_CALLS = 3;
     /** For how many of the longest intervals the oldest call may wait for its turn. */
     private static final int PATIENCE_INTERVALS = 3;
@@ -23,35 +24,23 @@
 
     private static final double MAX_PATIENCE_MILLIS = 20_000;
 
-    private final ListCurrency currency;
-    private final WatchConfirmation confirmation;
-    /** True if calls go to a local agent, which serves nobody else. */
-    private final boolean localAgent;
+    private final DiscoveryCallSchedule schedule;
 
     /** The calls that wait for their first list, the oldest first. */
     private final List<CallState> waiting = new ArrayList<>();
     /** The open watch, or null. */
     private CallState watch;
 
-    private double lastBegunMillis = Double.NEGATIVE_INFINITY;
-    private double nextCallAtMillis;
     private double patienceMillis;
 
-    /**
-     * No calls.
-     *
-     * @param localAgent true if calls go to a local agent
-     * @param sidecars how many call the same service
-     */
-    CallSchedule(ListCurrency currency, boolean localAgent, int sidecars) {
-        this.currency = currency;
-        this.confirmation = new WatchConfirmation(currency, localAgent, sidecars);
-        this.localAgent = localAgent;
+    /** No calls. */
+    WaitingCalls(DiscoveryCallSchedule schedule) {
+        this.schedule = schedule;
         resetPatience();
     }
 
     private void resetPatience() {
-        patienceMillis = PATIENCE_INTERVALS * currency.callIntervalMillis();
+        patienceMillis = PATIENCE_INTERVALS * schedule.currency().callIntervalMillis();
     }
 
     /** Returns true if no call waits, and no watch is open that can be relied on. */
@@ -66,9 +55,8 @@
 
     /** Returns true if another call has to begin since none of those that wait has been answered. */
     boolean callDue(double nowMillis) {
-        return !waiting.isEmpty()
-                && nowMillis >= nextCallAtMillis
-                && (!watchReliable(nowMillis) || confirmation.mayFollowUnanswered(nowMillis, watch.evidence()));
+        WatchEvidence reliableWatch = watchReliable(nowMillis) ? watch.evidence() : null;
+        return !waiting.isEmpty() && schedule.callBesideDue(nowMillis, reliableWatch);
     }
 
     /** Returns true if a watch is open that can be relied on. */
@@ -82,7 +70,9 @@
      * @param random from 0 to 1
      */
     boolean confirmationDue(double nowMillis, double random) {
-        return waiting.isEmpty() && watchReliable(nowMillis) && confirmation.due(nowMillis, watch.evidence(), random);
+        return waiting.isEmpty()
+                && watchReliable(nowMillis)
+                && schedule.confirmationDue(nowMillis, watch.evidence(), random);
     }
 
     /**
@@ -95,14 +85,16 @@
             return true;
         }
         if (newer) {
-            confirmation.watchFoundLate(call.sentMillis());
+            schedule.watchFoundLate(call.sentMillis());
+            return true;
         }
-        return newer || nowMillis - call.sentMillis() < watch.evidence().delayBoundMillis();
+        return nowMillis - call.sentMillis() < watch.evidence().delayBoundMillis();
     }
 
-    /** A call has brought its first list, be it the watch or not: lets those that wait count no longer, and returns them. */
+    /** A call was answered, whether it is the watch or not; returns those beside it, which count no longer. */
     List<CallState> supersedeWaiting() {
         resetPatience();
+        schedule.callAnswered();
         List<CallState> others = new ArrayList<>(waiting);
         waiting.clear();
         return others;
@@ -130,34 +122,14 @@
     CallState begin(double nowMillis, double random) {
         CallState call = new CallState(nowMillis, random);
         waiting.add(call);
-        lastBegunMillis = nowMillis;
-        if (watchReliable(nowMillis)) {
-            confirmation.begun(nowMillis);
-        }
-        scheduleNext(nowMillis);
+        schedule.callBegun(nowMillis, watchReliable(nowMillis));
         return call;
     }
 
     /** A call at an address that is wanted again waits here again. */
     void resume(CallState call, double nowMillis) {
         waiting.add(0, call);
-        scheduleNext(nowMillis);
-    }
-
-    private void scheduleNext(double nowMillis) {
-        double intervalMillis =
-                localAgent ? currency.agentCallIntervalMillis() : currency.callIntervalMillis(nowMillis);
-        nextCallAtMillis = nowMillis + intervalMillis;
-    }
-
-    /** Returns when a call begins beside those that wait, unless one of them is answered. */
-    double nextCallAtMillis() {
-        return nextCallAtMillis;
-    }
-
-    /** Returns when a call to a local agent begins if none waits any more. */
-    double nextAgentCallMillis(double nowMillis) {
-        return Math.max(nowMillis, lastBegunMillis + currency.agentCallIntervalMillis());
+        schedule.callWaits(nowMillis);
     }
 
     /** A call was given up without an answer: the service may need longer than that. */
--- a/src/main/java/loadbalancer/lifecycle/SidecarComponents.java
+++ b/src/main/java/loadbalancer/lifecycle/SidecarComponents.java
@@ -75,7 +75,7 @@
                         configuration.settings(),
                         configuration.seed(),
                         configuration.lastKnownList(),
-                        dispatcher.listCurrency()),
+                        dispatcher.discoveryCalls()),
                 dispatcher,
                 log);
         ClientServer server = new ClientServer(
--- a/src/main/java/loadbalancer/policy/BalancingPolicy.java
+++ b/src/main/java/loadbalancer/policy/BalancingPolicy.java
@@ -19,10 +19,10 @@
     void endpointsChanged(double now, WatchEvent event, List<Endpoint> endpoints);
 
     /**
-     * Returns the judge of how current the list is, which whoever receives lists tells what it learns before it passes
-     * them on.
+     * Returns the schedule of calls to discovery, which whoever makes them tells what it learns before it passes a list
+     * on.
      */
-    ListCurrency listCurrency();
+    DiscoveryCallSchedule discoveryCalls();
 
     /** A client's request arrived; the policy has to see to one final response. */
     void requestArrived(double now, PolicyRequest request);
--- a/src/main/java/loadbalancer/policy/LossThrottlingPolicy.java
+++ b/src/main/java/loadbalancer/policy/LossThrottlingPolicy.java
@@ -39,8 +39,8 @@
     private final double periodMillis;
     private final EndpointTable endpoints;
     private final SubsetSelector subset;
-    private final ListCurrency currency;
-    private final DiscoveryPollSchedule polls;
+    private final DiscoveryCallSchedule discoveryCalls;
+    private final DiscoveryPoller discovery;
     private final PriorityMix priorities;
     private final LatencyBaseline latencies;
     private final OutcomeRecorder outcomes;
@@ -71,8 +71,8 @@
         this.periodMillis = Math.max(MIN_PERIOD_MILLIS, shortestObjectiveMillis * PERIOD_OBJECTIVE_FRACTION);
         this.endpoints = new EndpointTable(rankHash, classes.length);
         this.subset = new SubsetSelector(settings.sidecarCount(), periodMillis);
-        this.currency = new ListCurrency(settings.rules());
-        this.polls = new DiscoveryPollSchedule(settings, currency, random, actions);
+        this.discoveryCalls = new DiscoveryCallSchedule(settings, new ListCurrency(settings.rules()), random);
+        this.discovery = new DiscoveryPoller(discoveryCalls, actions);
         this.priorities = new PriorityMix(settings, random);
         this.latencies = new LatencyBaseline(settings.classes());
         this.outcomes = new OutcomeRecorder(latencies);
@@ -94,8 +94,7 @@
     @Override
     public void prepare(double nowMillis) {
         prepared = true;
-        currency.started(nowMillis);
-        polls.start(nowMillis);
+        discovery.start(nowMillis);
     }
 
     @Override
@@ -110,31 +109,16 @@
 
     @Override
     public void endpointsChanged(double nowMillis, WatchEvent event, List<Endpoint> entries) {
-        switch (event) {
-            case IDLE_TIMEOUT -> polls.idleTimeout(nowMillis);
-            case MOVED -> polls.moved(nowMillis);
-            case FAILED -> polls.failed(nowMillis);
-            case REJECTED -> polls.rejected(nowMillis);
-            case STALE_SNAPSHOT -> updateEndpoints(nowMillis, true, entries);
-            case RETIREMENTS -> updateEndpoints(nowMillis, false, entries);
-            case SNAPSHOT, DELTA -> {
-                // A watch that has been silent brings changes late, and says nothing of how current the list is.
-                if (currency.reliable()) {
-                    polls.listReceived();
-                }
-                updateEndpoints(nowMillis, event == WatchEvent.SNAPSHOT, entries);
-            }
+        discovery.watchChanged(nowMillis, event);
+        if (event.bringsList()) {
+            endpoints.update(nowMillis, event.complete(), entries);
+            subset.select(nowMillis, endpoints.ready());
         }
     }
 
     @Override
-    public ListCurrency listCurrency() {
-        return currency;
-    }
-
-    private void updateEndpoints(double nowMillis, boolean complete, List<Endpoint> entries) {
-        endpoints.update(nowMillis, complete, entries);
-        subset.select(nowMillis, endpoints.ready());
+    public DiscoveryCallSchedule discoveryCalls() {
+        return discoveryCalls;
     }
 
     @Override
@@ -252,7 +236,7 @@
 
     @Override
     public void wake(double nowMillis) {
-        polls.wake(nowMillis);
+        discovery.wake(nowMillis);
         if (nowMillis >= periodEndMillis) {
             endPeriod(nowMillis);
         }
--- /dev/null
+++ b/src/main/java/loadbalancer/policy/SmallFleetPacing.java
@@ -0,0 +1,69 @@
+package loadbalancer.policy;
+
+import java.util.SplittableRandom;
+
+/**
+ * Calls to a service that few sidecars share: it answers the calls of all of them in turn, without one that is
+ * rejected, so that each may call again soon after the end of its last call, whatever that one brought.
+ */
+final class SmallFleetPacing implements CallPacing {
+    private static final double MIN_PAUSE_MILLIS = 100;
+    private static final double PAUSE_RANGE_MILLIS = 100;
+    private static final double MIN_REJECTED_PAUSE_MILLIS = 150;
+    private static final double REJECTED_PAUSE_RANGE_MILLIS = 400;
+
+    private final ListCurrency currency;
+    private final FleetSpread spread;
+    private final SplittableRandom random;
+
+    SmallFleetPacing(ListCurrency currency, FleetSpread spread, SplittableRandom random) {
+        this.currency = currency;
+        this.spread = spread;
+        this.random = random;
+    }
+
+    @Override
+    public double afterStart(double nowMillis) {
+        return nowMillis + spread.millis() * random.nextDouble();
+    }
+
+    @Override
+    public double afterMove(double nowMillis) {
+        return nowMillis + spread.millis() * random.nextDouble();
+    }
+
+    @Override
+    public double afterSilence(double nowMillis) {
+        return nowMillis;
+    }
+
+    @Override
+    public double afterEnd(double nowMillis) {
+        return nowMillis + MIN_PAUSE_MILLIS + (PAUSE_RANGE_MILLIS + spread.millis()) * random.nextDouble();
+    }
+
+    @Override
+    public double afterRejection(double nowMillis) {
+        return nowMillis + MIN_REJECTED_PAUSE_MILLIS + REJECTED_PAUSE_RANGE_MILLIS * random.nextDouble();
+    }
+
+    @Override
+    public double besideUnanswered(double nowMillis) {
+        return nowMillis + currency.callIntervalMillis(nowMillis);
+    }
+
+    @Override
+    public void callRequested(double nowMillis) {
+        // No pause depends on it.
+    }
+
+    @Override
+    public void callBegun(double nowMillis) {
+        // No pause depends on it.
+    }
+
+    @Override
+    public void callAnswered() {
+        // Nothing is counted.
+    }
+}
--- a/src/main/java/loadbalancer/policy/WatchConfirmation.java
+++ b/src/main/java/loadbalancer/policy/WatchConfirmation.java
@@ -10,17 +10,17 @@
  * silent. In a large fleet all watches may become doubtful together, by the same changes, and their calls must not
  * crowd a service that needs a whole term for one call of each.
  */
-public final class WatchConfirmation {
+final class WatchConfirmation {
     private static final double SMALL_FLEET_SPREAD_MILLIS_PER_SIDECAR = 50;
     private static final int LARGE_FLEET_MIN_INTERVAL_TERMS = 2;
     private static final double LARGE_FLEET_SPREAD_FRACTION = 0.5;
 
     private final ListCurrency currency;
     private final boolean callsMayCrowd;
-    private final double maxPathDelayMillis;
     private final double intervalMillis;
     private final double spreadMillis;
     private double earliestMillis = Double.NEGATIVE_INFINITY;
+    private final double acceptedPathDelayMillis;
     /** NaN while the watch is prompt. */
     private double dueMillis = Double.NaN;
 
@@ -30,17 +30,16 @@
      * @param localAgent true if calls go to a local agent, which serves nobody else
      * @param sidecars how many call the same service
      */
-    public WatchConfirmation(ListCurrency currency, boolean localAgent, int sidecars) {
+    WatchConfirmation(ListCurrency currency, boolean localAgent, int sidecars) {
         this.currency = currency;
-        this.callsMayCrowd = !localAgent && sidecars > DiscoveryPollSchedule.SIDECARS_ANSWERED_IN_TURN;
-        this.maxPathDelayMillis = currency.acceptedPathDelayMillis(localAgent);
+        this.callsMayCrowd = !localAgent && sidecars > FleetSpread.SIDECARS_ANSWERED_IN_TURN;
+        this.acceptedPathDelayMillis = currency.acceptedPathDelayMillis(localAgent);
         if (localAgent) {
             this.intervalMillis = currency.callIntervalMillis();
             this.spreadMillis = 0;
         } else if (callsMayCrowd) {
             this.intervalMillis = Math.max(
-                    LARGE_FLEET_MIN_INTERVAL_TERMS * currency.termMillis(),
-                    sidecars * DiscoveryPollSchedule.SPREAD_MILLIS_PER_SIDECAR);
+                    LARGE_FLEET_MIN_INTERVAL_TERMS * currency.termMillis(), sidecars * FleetSpread.MILLIS_PER_SIDECAR);
             this.spreadMillis = intervalMillis * LARGE_FLEET_SPREAD_FRACTION;
         } else {
             this.intervalMillis = currency.termMillis();
@@ -53,7 +52,7 @@
      *
      * @param random from 0 to 1
      */
-    public boolean due(double nowMillis, WatchEvidence watch, double random) {
+    boolean due(double nowMillis, WatchEvidence watch, double random) {
         if (!doubtful(nowMillis, watch)) {
             dueMillis = Double.NaN;
             return false;
@@ -65,25 +64,25 @@
     }
 
     private boolean doubtful(double nowMillis, WatchEvidence watch) {
-        return watch.idlePathBoundMillis() > maxPathDelayMillis
+        return watch.idlePathBoundMillis() > acceptedPathDelayMillis
                 || nowMillis - watch.earliestWrittenMillis() > currency.acceptedAgeMillis();
     }
 
     /** Returns true if a further call may begin though one is unanswered beside this watch, which can be relied on. */
-    public boolean mayFollowUnanswered(double nowMillis, WatchEvidence watch) {
+    boolean mayFollowUnanswered(double nowMillis, WatchEvidence watch) {
         double longestAgeMillis = currency.acceptedAgeMillis() + currency.callIntervalMillis();
         boolean moreDoubtful = nowMillis - watch.earliestWrittenMillis() > longestAgeMillis;
         return nowMillis >= earliestMillis || moreDoubtful && !callsMayCrowd;
     }
 
     /** A call has begun beside a watch that can be relied on. */
-    public void begun(double nowMillis) {
+    void begun(double nowMillis) {
         earliestMillis = nowMillis + intervalMillis;
         dueMillis = Double.NaN;
     }
 
     /** A call that was sent at this time has brought more than the watch had. */
-    public void watchFoundLate(double sentMillis) {
+    void watchFoundLate(double sentMillis) {
         if (!callsMayCrowd) {
             earliestMillis = sentMillis + currency.callIntervalMillis();
             dueMillis = earliestMillis;
--- a/src/main/java/loadbalancer/proxy/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/RequestDispatcher.java
@@ -11,8 +11,8 @@
 import loadbalancer.eventloop.LoopLateness;
 import loadbalancer.policy.AttemptOutcome;
 import loadbalancer.policy.BalancingPolicy;
+import loadbalancer.policy.DiscoveryCallSchedule;
 import loadbalancer.policy.Endpoint;
-import loadbalancer.policy.ListCurrency;
 import loadbalancer.policy.LossThrottlingPolicy;
 import loadbalancer.policy.PolicyActions;
 import loadbalancer.policy.PolicyRequest;
@@ -90,14 +90,14 @@
             endpointsReceived(WatchEvent.STALE_SNAPSHOT, known);
         }
         if (!settings.endpointListPolled()) {
-            // A list that is pushed comes from an agent on this machine; the policy opens no watch on it.
+            // A list that is pushed comes from an agent on this machine; the policy does not begin to watch it.
             watch.run();
         }
     }
 
-    /** Returns the policy's judge of how current the endpoint list is. */
-    public ListCurrency listCurrency() {
-        return policy.listCurrency();
+    /** Returns the policy's schedule of calls to discovery. */
+    public DiscoveryCallSchedule discoveryCalls() {
+        return policy.discoveryCalls();
     }
 
     /** Starts the policy: requests may come from now on. */
--- a/src/main/java/loadbalancer/simulator/SimulatedSidecar.java
+++ b/src/main/java/loadbalancer/simulator/SimulatedSidecar.java
@@ -53,7 +53,7 @@
 
     void endpointsChanged(double now, WatchEvent event, List<Endpoint> endpoints) {
         if (event == WatchEvent.SNAPSHOT || event == WatchEvent.DELTA) {
-            policy.listCurrency().answered(now);
+            policy.discoveryCalls().currency().answered(now);
         }
         notifyPolicy(() -> policy.endpointsChanged(now, event, endpoints));
     }
--- a/src/test/java/loadbalancer/policy/SettingsBuilder.java
+++ b/src/test/java/loadbalancer/policy/SettingsBuilder.java
@@ -66,6 +66,18 @@
         return this;
     }
 
+    /** Sets for how long a draining endpoint may still be used, and keeps the other rules. */
+    SettingsBuilder drainGraceMillis(double millis) {
+        rules = new OperatorRules(
+                millis,
+                rules.overloadMultiple(),
+                rules.overloadWindowMillis(),
+                rules.slowStartInitialFraction(),
+                rules.slowStartMillis(),
+                rules.pollDeadlineMillis());
+        return this;
+    }
+
     SettingsBuilder reporting(LoadReporting loadReporting) {
         reporting = loadReporting;
         return this;
