Confirm the path of a watch on a local agent once, where its delay stays as it is

What was seen: with all paths late by 0.2 s and a grace of 0.5 s, one confirming call went out each 2.2 s for ever, since the bound of the path stays over what is accepted without one (0.3 of the grace), and no call can find a better path. Now a call that was answered with nothing newer, no earlier than the watch would have told it, makes the bound accepted, up to 0.7 of the grace. A bound that grows by 20 ms is doubtful again. For a shared service nothing changes: there a late path must be left while it can still be noticed going dark.

WatchConfirmationTest fails without it. What it makes rarer is the check of a path that is late by a constant time; what such a path tells comes within the grace.

--- a/src/main/java/loadbalancer/discovery/WaitingCalls.java
+++ b/src/main/java/loadbalancer/discovery/WaitingCalls.java
@@ -88,7 +88,11 @@
             schedule.watchFoundLate(call.sentMillis());
             return true;
         }
-        return nowMillis - call.sentMillis() < watch.evidence().delayBoundMillis();
+        boolean prompter = nowMillis - call.sentMillis() < watch.evidence().delayBoundMillis();
+        if (!prompter) {
+            schedule.watchConfirmed(watch.evidence());
+        }
+        return prompter;
     }
 
     /** A call was answered, whether it is the watch or not; returns those beside it, which count no longer. */
--- a/src/main/java/loadbalancer/policy/DiscoveryCallSchedule.java
+++ b/src/main/java/loadbalancer/policy/DiscoveryCallSchedule.java
@@ -134,4 +134,9 @@
     public void watchFoundLate(double sentMillis) {
         confirmation.watchFoundLate(sentMillis);
     }
+
+    /** A call beside the watch was answered with nothing newer, and no earlier than the watch would have told it. */
+    public void watchConfirmed(WatchEvidence watch) {
+        confirmation.watchConfirmed(watch);
+    }
 }
--- a/src/main/java/loadbalancer/policy/ListCurrency.java
+++ b/src/main/java/loadbalancer/policy/ListCurrency.java
@@ -103,6 +103,11 @@
         return localAgent ? budget.acceptedAgentPathDelayMillis() : budget.acceptedPathDelayMillis();
     }
 
+    /** Returns how late a path to a local agent may be at the most once a call has found none that is better. */
+    double confirmedAgentPathDelayMillis() {
+        return budget.confirmedAgentPathDelayMillis();
+    }
+
     /** Returns how long ago the list may have been complete for sure without a call that confirms its watch. */
     double acceptedAgeMillis() {
         return budget.acceptedAgeMillis();
--- a/src/main/java/loadbalancer/policy/NotificationBudget.java
+++ b/src/main/java/loadbalancer/policy/NotificationBudget.java
@@ -37,6 +37,7 @@
 
     private static final double ACCEPTED_AGENT_DELAY_GRACE_FRACTION = 0.3;
     private static final double MIN_ACCEPTED_AGENT_DELAY_MILLIS = 50;
+    private static final double CONFIRMED_AGENT_DELAY_GRACE_FRACTION = 0.7;
 
     /** A silent watch on a path that is late by so much is noticed early enough for two further calls. */
     private static final double ACCEPTED_PATH_DELAY_FRACTION = 0.125;
@@ -101,6 +102,11 @@
         return Math.max(MIN_ACCEPTED_AGENT_DELAY_MILLIS, drainGraceMillis * ACCEPTED_AGENT_DELAY_GRACE_FRACTION);
     }
 
+    /** Returns how late a path to a local agent may be at the most once a call has found none that is better. */
+    double confirmedAgentPathDelayMillis() {
+        return drainGraceMillis * CONFIRMED_AGENT_DELAY_GRACE_FRACTION;
+    }
+
     /** Returns how long ago the list may have been complete for sure without a call that confirms its watch. */
     double acceptedAgeMillis() {
         return usableMillis * ACCEPTED_AGE_FRACTION;
--- a/src/main/java/loadbalancer/policy/WatchConfirmation.java
+++ b/src/main/java/loadbalancer/policy/WatchConfirmation.java
@@ -14,13 +14,17 @@
     private static final double SMALL_FLEET_SPREAD_MILLIS_PER_SIDECAR = 50;
     private static final int LARGE_FLEET_MIN_INTERVAL_TERMS = 2;
     private static final double LARGE_FLEET_SPREAD_FRACTION = 0.5;
+    /** By how much the bound of a path may move that stays as it is. */
+    private static final double BOUND_TOLERANCE_MILLIS = 20;
 
     private final ListCurrency currency;
     private final boolean callsMayCrowd;
+    private final double confirmedPathDelayLimitMillis;
     private final double intervalMillis;
     private final double spreadMillis;
     private double earliestMillis = Double.NEGATIVE_INFINITY;
-    private final double acceptedPathDelayMillis;
+    /** Grows to what the bound of a watch was when a call confirmed it. */
+    private double acceptedPathDelayMillis;
     /** NaN while the watch is prompt. */
     private double dueMillis = Double.NaN;
 
@@ -34,6 +38,8 @@
         this.currency = currency;
         this.callsMayCrowd = !localAgent && sidecars > FleetSpread.SIDECARS_ANSWERED_IN_TURN;
         this.acceptedPathDelayMillis = currency.acceptedPathDelayMillis(localAgent);
+        this.confirmedPathDelayLimitMillis =
+                localAgent ? currency.confirmedAgentPathDelayMillis() : acceptedPathDelayMillis;
         if (localAgent) {
             this.intervalMillis = currency.callIntervalMillis();
             this.spreadMillis = 0;
@@ -81,6 +87,17 @@
         dueMillis = Double.NaN;
     }
 
+    /**
+     * A call was answered with nothing newer, and no earlier than the watch would have told it: the path can't be had
+     * better. A delay that stays as it is and leaves time within the grace needs no further call; one that grows does.
+     */
+    void watchConfirmed(WatchEvidence watch) {
+        double boundMillis = watch.idlePathBoundMillis() + BOUND_TOLERANCE_MILLIS;
+        if (boundMillis <= confirmedPathDelayLimitMillis) {
+            acceptedPathDelayMillis = Math.max(acceptedPathDelayMillis, boundMillis);
+        }
+    }
+
     /** A call that was sent at this time has brought more than the watch had. */
     void watchFoundLate(double sentMillis) {
         if (!callsMayCrowd) {
--- a/src/test/java/loadbalancer/policy/WatchConfirmationTest.java
+++ b/src/test/java/loadbalancer/policy/WatchConfirmationTest.java
@@ -89,6 +89,32 @@
         assertFalse(confirmation.mayFollowUnanswered(200 * MANY_SIDECARS - 1, new WatchEvidence(0, 0, 1)));
     }
 
+    /** The evidence of a watch whose lines are late by this much. */
+    private static WatchEvidence late(double millis) {
+        return new WatchEvidence(millis, 0, 1);
+    }
+
+    // Guards against calls for ever beside the watch on a local agent whose paths are all late by the same time.
+    @Test
+    void steadyPathToLocalAgentIsConfirmedOnce() {
+        WatchConfirmation confirmation = confirmation(true, 1);
+        assertTrue(confirmation.due(200, late(200), 0));
+        confirmation.watchConfirmed(late(200));
+        assertFalse(confirmation.due(200, late(200), 0));
+        assertFalse(confirmation.due(210, late(210), 0));
+        // A delay that grows, or one that leaves little of the grace of 500 ms.
+        assertTrue(confirmation.due(230, late(230), 0));
+        confirmation.watchConfirmed(late(400));
+        assertTrue(confirmation.due(400, late(400), 0));
+    }
+
+    @Test
+    void steadyLatePathToSharedServiceIsConfirmedAgain() {
+        WatchConfirmation confirmation = confirmation(false, FEW_SIDECARS);
+        confirmation.watchConfirmed(late(800));
+        assertTrue(confirmation.due(800, late(800), 0));
+    }
+
     @Test
     void watchOnLatePathIsConfirmed() {
         WatchConfirmation confirmation = confirmation(false, FEW_SIDECARS);
