Check at run time that the endpoint list is never left unwatched, and log when the next call begins

The fault before left a process without watch, call or scheduled call, and nothing noticed. WatchGuard counts a second of that as a violation, writes one line and lets a call begin.

--- a/src/main/java/loadbalancer/discovery/DiscoveryCalls.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryCalls.java
@@ -71,7 +71,7 @@
     }
 
     private void giveUp(CallState state, double now) {
-        log.callEnded(state.silence(), state.ageMillis(now));
+        log.callEnded(state.silence(), state.ageMillis(now), Double.NaN);
         boolean outOfDate = state.stalled(now) || state.ageMillis(now) > maxUnattendedAgeMillis;
         waitingCalls.givenUp(state, now);
         if (outOfDate) {
--- a/src/main/java/loadbalancer/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryClient.java
@@ -48,9 +48,12 @@
     private final WaitingCalls waitingCalls;
     private final DiscoveryCalls calls;
     private final EndpointListReceiver receiver;
+    private final WatchGuard watchGuard;
     private InetSocketAddress address;
     /** True from when an open watch is found silent to the next answer. */
     private boolean silenceReported;
+    /** False until the first call. */
+    private boolean called;
 
     /** A client without a watch, which connects with this kind of channels and logs lines of text. */
     public DiscoveryClient(
@@ -70,6 +73,7 @@
         this.random = new Random(settings.seed());
         this.discoveryLog = new DiscoveryLog(clock, currency, log);
         this.waitingCalls = new WaitingCalls(schedule);
+        this.watchGuard = new WatchGuard(log);
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(channels)
@@ -97,7 +101,9 @@
 
     private void checkCalls() {
         double now = clock.now();
-        if (waitingCalls.unattendedSilentWatch(now) != null || waitingCalls.callDue(now)) {
+        if (called && watchGuard.unwatched(now, waitingCalls.callNeeded(now), schedule.nextCallMillis())) {
+            open();
+        } else if (waitingCalls.unattendedSilentWatch(now) != null || waitingCalls.callDue(now)) {
             // After a late turn, what has come may not have been read yet.
             SelectBarrier.runAfterSelect(loop, this::attendToCalls);
         } else if (waitingCalls.confirmationDue(now, random.nextDouble())) {
@@ -108,6 +114,7 @@
     }
 
     private void open() {
+        called = true;
         calls.open(address, receiver.version());
         after(schedule.callBesideMillis(), this::attendIfCallDue);
     }
@@ -130,8 +137,8 @@
             // It stays open until another call is answered: it may only be late.
             silenceReported = true;
             currency.watchFellSilent();
-            discoveryLog.callEnded(CallEnd.SILENT, silent.ageMillis(now));
             listener.watchFailed(WatchEvent.IDLE_TIMEOUT);
+            discoveryLog.callEnded(CallEnd.SILENT, silent.ageMillis(now), schedule.nextCallMillis());
         } else if (waitingCalls.callDue(now)) {
             open();
         }
@@ -169,11 +176,11 @@
 
         // Another call may still be answered, or be followed by one in its time.
         @Override
-        public void callEnded(CallEnd end) {
-            if (!waitingCalls.callNeeded(clock.now())) {
-                return;
+        public double callEnded(CallEnd end) {
+            if (waitingCalls.callNeeded(clock.now())) {
+                listener.watchFailed(end == CallEnd.REJECTED ? WatchEvent.REJECTED : WatchEvent.FAILED);
             }
-            listener.watchFailed(end == CallEnd.REJECTED ? WatchEvent.REJECTED : WatchEvent.FAILED);
+            return schedule.nextCallMillis();
         }
     }
 }
--- a/src/main/java/loadbalancer/discovery/DiscoveryLog.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryLog.java
@@ -43,17 +43,27 @@
         begun++;
     }
 
-    /** A call ended without a list, or a watch ended, that long after the call began. */
-    void callEnded(CallEnd end, double ageMillis) {
+    /**
+     * A call ended without a list, or a watch ended, that long after the call began.
+     *
+     * @param nextCallMillis when the next call begins; NaN if one waits or none is due
+     */
+    void callEnded(CallEnd end, double ageMillis, double nextCallMillis) {
         ends.merge(end, 1, Integer::sum);
         if (!inOutage()) {
             outageSinceMillis = clock.now();
             lastOutageLineMillis = outageSinceMillis;
             log.accept("endpoint list unavailable: " + end.description() + " " + seconds(ageMillis)
-                    + " after the call began; " + listInUse());
+                    + " after the call began; " + listInUse() + nextCall(nextCallMillis));
         }
     }
 
+    private String nextCall(double nextCallMillis) {
+        return Double.isNaN(nextCallMillis)
+                ? ""
+                : "; next call in " + Math.round(Math.max(0, nextCallMillis - clock.now())) + " ms";
+    }
+
     /** An open watch that can be relied on is closed for a call that was answered this long after it began. */
     void watchReplaced(double answeredAfterMillis) {
         double now = clock.now();
--- a/src/main/java/loadbalancer/discovery/EndpointListReceiver.java
+++ b/src/main/java/loadbalancer/discovery/EndpointListReceiver.java
@@ -18,8 +18,8 @@
         /** A call has brought its first list. */
         void callAnswered();
 
-        /** A call that was waited for, or the watch, has ended. */
-        void callEnded(CallEnd end);
+        /** A call that was waited for, or the watch, has ended; returns when the next one begins, or NaN. */
+        double callEnded(CallEnd end);
     }
 
     private final DiscoveryCalls calls;
@@ -168,8 +168,8 @@
         boolean unattended = call.state().unattended();
         calls.ended(call);
         if (!unattended) {
-            discoveryLog.callEnded(end, call.state().ageMillis(clock.now()));
-            callListener.callEnded(end);
+            double nextCallMillis = callListener.callEnded(end);
+            discoveryLog.callEnded(end, call.state().ageMillis(clock.now()), nextCallMillis);
         }
     }
 }
--- a/src/test/java/loadbalancer/discovery/DiscoveryLogTest.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryLogTest.java
@@ -33,14 +33,15 @@
     void saysOnceThatListIsUnavailableAndCountsCallsAtTheEnd() {
         log.callBegun();
         advance(2600);
-        log.callEnded(CallEnd.NOT_ANSWERED, 2600);
+        log.callEnded(CallEnd.NOT_ANSWERED, 2600, clock.now() + 150);
         assertEquals(
-                List.of("endpoint list unavailable: no answer 2.6 s after the call began;"
-                        + " the list known at the start stays in use, current as of no known time"),
+                List.of(
+                        "endpoint list unavailable: no answer 2.6 s after the call began;"
+                                + " the list known at the start stays in use, current as of no known time; next call in 150 ms"),
                 newLines());
         for (int i = 0; i < 10; i++) {
             log.callBegun();
-            log.callEnded(CallEnd.REJECTED, 0);
+            log.callEnded(CallEnd.REJECTED, 0, Double.NaN);
         }
         assertEquals(List.of(), newLines());
         advance(1000);
@@ -58,7 +59,7 @@
         currency.answered(clock.now());
         log.versionReceived(42L);
         log.callBegun();
-        log.callEnded(CallEnd.CLOSED, 0);
+        log.callEnded(CallEnd.CLOSED, 0, Double.NaN);
         newLines();
         for (int i = 0; i < 100; i++) {
             advance(100);
