Give up no call as stalled whose response has only begun

A call that names a version is answered by the head at once and, where nothing has changed, by an empty line 2 s later. The head counted as a part of a list, so that such a call, once three waited, was given up as stalled after a second, right before its answer; with an agent called each 0.1 s each call ended so. Now only bytes of a list count.

DiscoveryCallsTest.keepsOldestCallWhoseResponseHasOnlyBegun fails without it (the call is closed). A service that writes a head and nothing more is given up by age, after 6.6 s.

--- a/src/main/java/loadbalancer/discovery/CallState.java
+++ b/src/main/java/loadbalancer/discovery/CallState.java
@@ -32,7 +32,7 @@
         sentMillis = nowMillis;
     }
 
-    /** Bytes of a response came, whether they complete anything or not. */
+    /** Bytes of a list came, whether they complete anything or not. */
     void markBytesReceived(double nowMillis) {
         responseBegun = true;
         lastBytesAtMillis = nowMillis;
--- a/src/main/java/loadbalancer/discovery/WatchCall.java
+++ b/src/main/java/loadbalancer/discovery/WatchCall.java
@@ -142,9 +142,8 @@
             fail(CallEnd.REJECTED);
             return;
         }
-        state.markBytesReceived(clock.now());
         if (message instanceof HttpContent content) {
-            decode(content);
+            receive(content);
         }
         if (message instanceof LastHttpContent) {
             fail(CallEnd.CLOSED);
@@ -155,6 +154,14 @@
         return message instanceof HttpResponse response && !response.status().equals(HttpResponseStatus.OK);
     }
 
+    // A head alone is no part of a list: where nothing has changed, the first line comes seconds after it.
+    private void receive(HttpContent content) {
+        if (content.content().isReadable()) {
+            state.markBytesReceived(clock.now());
+        }
+        decode(content);
+    }
+
     private void decode(HttpContent content) {
         try {
             linesEnded(decoder.decode(content.content(), this::objectDecoded));
--- a/src/test/java/loadbalancer/discovery/DiscoveryCallsTest.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryCallsTest.java
@@ -147,6 +147,25 @@
         }
     }
 
+    // Guards against giving up a call as stalled whose service writes the head at once, and an empty line 2 s later.
+    @Test
+    void keepsOldestCallWhoseResponseHasOnlyBegun() throws Exception {
+        try (FakeServer service = fixture.newService()) {
+            fixture.start(service, "push");
+            FakeServer.Connection oldest = fixture.nextCall();
+            oldest.text(HEAD);
+            fixture.awaitLoop();
+            for (int call = 0; call < 13; call++) {
+                fixture.advance(AGENT_INTERVAL_MILLIS);
+                fixture.nextCall();
+            }
+            oldest.text(chunk("\n"));
+            fixture.awaitLoop();
+            oldest.text(chunk(list(50, false, "a")));
+            assertEquals("DELTA 50 [a]", fixture.nextEvent());
+        }
+    }
+
     // Guards against closing the call that has just become the watch as the oldest of those that nobody waits for.
     @Test
     void keepsAnsweredCallThatWasLongSuperseded() throws Exception {
