Use no list that is older than the one in force and was asked for before that came

A call beside the watch was held up on its way and answered with the whole list of a version that the watch had left behind; it was taken as a list of its own, set the version back, and dropped what the watch had told since. The same answer as a change threw, and let the client forget the version in force. Such an answer was recognized for calls that nobody waited for, not for one that waits.

Now it counts for its drains alone, the call is closed, and if no watch is open another call begins. A call that began after the newer list came shows by an older version that the service counts anew, as before.

DiscoveryCallsTest.ignoresListBesideWatchThatIsOlderThanWatch fails without it, whole and as a change.

--- a/src/main/java/loadbalancer/discovery/CallEnd.java
+++ b/src/main/java/loadbalancer/discovery/CallEnd.java
@@ -8,6 +8,7 @@
     SILENT("silence on the watch"),
     REJECTED("a rejection"),
     CLOSED("the end of the connection"),
+    OUTDATED("a list older than the one in use"),
     MALFORMED("a malformed list");
 
     private final String description;
--- a/src/main/java/loadbalancer/discovery/EndpointListReceiver.java
+++ b/src/main/java/loadbalancer/discovery/EndpointListReceiver.java
@@ -83,8 +83,12 @@
     public void objectReceived(WatchCall call, JsonNode object) throws EndpointListException {
         EndpointList list = EndpointList.parse(object);
         CallState state = call.state();
-        if (state.role() == CallRole.ABANDONED || closedAsOutdated(call, list.version())) {
+        boolean outdated = isOutdated(call, list.version());
+        if (state.role() == CallRole.ABANDONED || outdated) {
             retire(list, call);
+            if (outdated) {
+                closeOutdated(call);
+            }
             return;
         }
         if (!list.snapshot() && version != null && list.version() < version) {
@@ -117,7 +121,11 @@
 
     @Override
     public void linesEnded(WatchCall call, int emptyLines) {
-        if (call.state().role() == CallRole.ABANDONED || closedAsOutdated(call, call.knownVersion())) {
+        if (call.state().role() == CallRole.ABANDONED) {
+            return;
+        }
+        if (isOutdated(call, call.knownVersion())) {
+            closeOutdated(call);
             return;
         }
         lineReceived(call, emptyLines > 0, false);
@@ -126,16 +134,23 @@
         }
     }
 
-    /** Closes a superseded call whose answer was held up on its way: the watch has brought more since. */
-    private boolean closedAsOutdated(WatchCall call, Long answeredVersion) {
-        boolean outdated = call.state().role() == CallRole.SUPERSEDED
-                && version != null
-                && answeredVersion != null
-                && answeredVersion < version;
-        if (outdated) {
-            calls.close(call);
+    /**
+     * Returns true if the first answer of a call was held up on its way, and another call has brought more since the
+     * call began. A call that began later shows by an older version that the service counts anew.
+     */
+    private boolean isOutdated(WatchCall call, Long answeredVersion) {
+        CallState state = call.state();
+        boolean begunBefore = state.role() == CallRole.SUPERSEDED
+                || state.role() == CallRole.WAITING && state.begunAtMillis() < listCameMillis;
+        return begunBefore && version != null && answeredVersion != null && answeredVersion < version;
+    }
+
+    private void closeOutdated(WatchCall call) {
+        boolean unattended = call.state().unattended();
+        calls.close(call);
+        if (!unattended) {
+            reportEnd(call, CallEnd.OUTDATED);
         }
-        return outdated;
     }
 
     /** A line of a call came: its first one answers the call, a further one shows that the watch is alive. */
@@ -168,8 +183,12 @@
         boolean unattended = call.state().unattended();
         calls.ended(call);
         if (!unattended) {
-            double nextCallMillis = callListener.callEnded(end);
-            discoveryLog.callEnded(end, call.state().ageMillis(clock.now()), nextCallMillis);
+            reportEnd(call, end);
         }
     }
+
+    private void reportEnd(WatchCall call, CallEnd end) {
+        double nextCallMillis = callListener.callEnded(end);
+        discoveryLog.callEnded(end, call.state().ageMillis(clock.now()), nextCallMillis);
+    }
 }
--- a/src/test/java/loadbalancer/discovery/DiscoveryCallsTest.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryCallsTest.java
@@ -8,6 +8,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import loadbalancer.testing.FakeServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -296,6 +297,32 @@
         }
     }
 
+    // Guards against a whole list that comes late beside the watch, and takes back what the watch has told since.
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void ignoresListBesideWatchThatIsOlderThanWatch(boolean whole) throws Exception {
+        try (FakeServer service = fixture.newService()) {
+            FakeServer.Connection watch = startWithWatch(service, "ask");
+            for (int i = 1; i <= 6; i++) {
+                fixture.advance(500);
+                watch.text(chunk(list(50 + i, false, "a")));
+                assertEquals("DELTA " + (50 + i) + " [a]", fixture.nextEvent());
+            }
+            fixture.awaitCheck();
+            fixture.advance(500);
+            FakeServer.Connection late = fixture.nextCall();
+            fixture.advance(200);
+            watch.text(chunk(list(57, false, "b")));
+            assertEquals("DELTA 57 [b]", fixture.nextEvent());
+            late.text(HEAD + chunk(list(56, whole, "a")));
+            service.awaitClose();
+            assertTrue(late.socket().isClosed());
+            watch.text(chunk(list(58, false, "c")));
+            assertEquals("DELTA 58 [c]", fixture.nextEvent());
+            assertEquals(List.of(), fixture.malformedListLines());
+        }
+    }
+
     // Guards against moves in series that each end the call that is about to be answered.
     @Test
     void keepsTurnOfCallIfDiscoveryMovesBack() throws Exception {
