--- a/src/main/java/loadbalancer/discovery/RetiredEndpoints.java
+++ b/src/main/java/loadbalancer/discovery/RetiredEndpoints.java
@@ -124,7 +124,7 @@
         }
     }
 
-    /** Retires the endpoints that a snapshot leaves out and its service must know, and returns them with their starts. */
+    /** Retires the endpoints that a snapshot leaves out and its service must know; returns them with their starts. */
     private Map<String, Double> retireMissing(EndpointList snapshot, ServiceHistory service, double nowMillis) {
         Map<String, Double> missing = new HashMap<>(ready);
         missing.values().removeIf(startMillis -> nowMillis - startMillis < MAX_LAG_MILLIS);
--- a/src/test/java/loadbalancer/discovery/DiscoveryLogTest.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryLogTest.java
@@ -35,9 +35,9 @@
         advance(2600);
         log.callEnded(CallEnd.NOT_ANSWERED, 2600, clock.now() + 150);
         assertEquals(
-                List.of(
-                        "endpoint list unavailable: no answer 2.6 s after the call began;"
-                                + " the list known at the start stays in use, current as of no known time; next call in 150 ms"),
+                List.of("endpoint list unavailable: no answer 2.6 s after the call began;"
+                        + " the list known at the start stays in use, current as of no known time;"
+                        + " next call in 150 ms"),
                 newLines());
         for (int i = 0; i < 10; i++) {
             log.callBegun();
