Confirm no prompt watch between two of its lines where the time for asking is short

What was seen, by the first sequences with a time for asking under 4 s: a call beside each prompt watch every 2 s, for ever. How old a list may be without a confirming call is half of the term, which the time for asking may shorten; under 2 s a watch is doubtful before its next line can come. It is 2.25 s at least now, as a watch is silent after that.

WatchConfirmationTest.promptWatchIsNotConfirmedThoughTimeForAskingIsShort fails without it.

--- a/src/main/java/loadbalancer/policy/NotificationBudget.java
+++ b/src/main/java/loadbalancer/policy/NotificationBudget.java
@@ -45,6 +45,9 @@
     /** What is left then suffices for one call that is nearly rejected. */
     private static final double ACCEPTED_AGE_FRACTION = 0.5;
 
+    /** Between two lines of a prompt watch, which come each 2 s. */
+    private static final double MIN_ACCEPTED_AGE_MILLIS = 2250;
+
     private final double usableMillis;
     private final double drainGraceMillis;
 
@@ -109,7 +112,7 @@
 
     /** Returns how long ago the list may have been complete for sure without a call that confirms its watch. */
     double acceptedAgeMillis() {
-        return usableMillis * ACCEPTED_AGE_FRACTION;
+        return Math.max(MIN_ACCEPTED_AGE_MILLIS, usableMillis * ACCEPTED_AGE_FRACTION);
     }
 
     /** Returns the longest time over which the first calls of a fleet are spread. */
--- a/src/test/java/loadbalancer/policy/WatchConfirmationTest.java
+++ b/src/test/java/loadbalancer/policy/WatchConfirmationTest.java
@@ -42,6 +42,19 @@
         }
     }
 
+    // Guards against calls for ever beside prompt watches where the time for asking is short.
+    @ParameterizedTest
+    @ValueSource(doubles = {500, 2000, 4000})
+    void promptWatchIsNotConfirmedThoughTimeForAskingIsShort(double pollDeadlineMillis) {
+        ListCurrency shortTerm = new ListCurrency(new OperatorRules(500, 4, 1500, 0.12, 24_000, pollDeadlineMillis));
+        WatchConfirmation confirmation = new WatchConfirmation(shortTerm, false, FEW_SIDECARS);
+        WatchEvidence watch = new WatchEvidence(0, 0, 1);
+        for (int line = 1; line <= 100; line++) {
+            assertFalse(confirmation.due(2000 * line, watch, 0));
+            watch.lineReceived(2000 * line, true);
+        }
+    }
+
     // A single change is followed by an empty line, which shows that nothing waits on the path.
     @Test
     void singleChangesNeedNoConfirmation() {
