--- a/src/test/java/loadbalancer/soak/SoakDeployment.java
+++ b/src/test/java/loadbalancer/soak/SoakDeployment.java
@@ -76,6 +76,11 @@
         return json.substring(0, from) + knownList + ",\n " + json.substring(to);
     }
 
+    /** Returns true if lists come from a local agent. */
+    boolean listPushed() {
+        return listMode.equals("push");
+    }
+
     /** How long after SIGTERM a SIGKILL may come. */
     long earliestKillMillis() {
         return Math.min(3000, deadlineMillis) + 700;
--- a/src/test/java/loadbalancer/soak/SoakFaults.java
+++ b/src/test/java/loadbalancer/soak/SoakFaults.java
@@ -58,6 +58,11 @@
         int atMillis = between(500, 5000);
         for (int i = random.nextInt(3); i > 0; i--) {
             int untilMillis = atMillis + between(500, 4000);
+            if (random.nextBoolean()) {
+                at(Math.max(0, atMillis - between(300, 3000)), run -> run.discovery()
+                        .setWatchesShort(true));
+                at(atMillis, run -> run.discovery().setWatchesShort(false));
+            }
             at(atMillis, run -> run.discovery().setCallsFaulty(true));
             at(untilMillis, run -> run.discovery().setCallsFaulty(false));
             atMillis = untilMillis + between(500, 2000);
--- a/src/test/java/loadbalancer/soak/SoakRecords.java
+++ b/src/test/java/loadbalancer/soak/SoakRecords.java
@@ -41,6 +41,9 @@
     /** Discovery has written to a sidecar that an endpoint drains or is gone. */
     record Told(int sidecar, String endpoint, double millis) {}
 
+    /** Nothing comes any more on a watch of a sidecar from this time on. */
+    record Silence(int sidecar, double millis) {}
+
     /** Within the sampling interval before, a thread of a sidecar or of the stand-ins waited for a core for so long. */
     record HoldUp(int sidecar, double untilMillis, double waitedMillis) {}
 
@@ -56,6 +59,9 @@
 
     final Queue<Told> told = new ConcurrentLinkedQueue<>();
 
+    /** When watches of a sidecar on its local agent fell silent. */
+    final Queue<Silence> silences = new ConcurrentLinkedQueue<>();
+
     final Queue<HoldUp> holdUps = new ConcurrentLinkedQueue<>();
 
     /** Stands for the process of the stand-ins where a sidecar's number is meant. */
@@ -83,6 +89,10 @@
         told.add(new Told(sidecar, endpoint, now()));
     }
 
+    void silent(int sidecar, double fromMillis) {
+        silences.add(new Silence(sidecar, fromMillis));
+    }
+
     /** Returns the events of this kind of a sidecar, by their beginning. */
     List<Event> events(int sidecar, String what) {
         return events.stream()
