--- a/src/main/java/loadbalancer/policy/DiscoveryPoller.java
+++ b/src/main/java/loadbalancer/policy/DiscoveryPoller.java
@@ -26,8 +26,14 @@
         switch (event) {
             case IDLE_TIMEOUT -> schedule.watchFellSilent(nowMillis);
             case MOVED -> schedule.moved(nowMillis);
-            case FAILED -> failed(() -> schedule.callEnded(nowMillis));
-            case REJECTED -> failed(() -> schedule.callRejected(nowMillis));
+            case FAILED -> {
+                schedule.callEnded(nowMillis);
+                logUnavailable();
+            }
+            case REJECTED -> {
+                schedule.callRejected(nowMillis);
+                logUnavailable();
+            }
             case SNAPSHOT, DELTA -> listReceived();
             case STALE_SNAPSHOT, RETIREMENTS -> {}
         }
@@ -36,8 +42,7 @@
         }
     }
 
-    private void failed(Runnable event) {
-        event.run();
+    private void logUnavailable() {
         if (!unavailable) {
             unavailable = true;
             actions.log("endpoint list unavailable, using the last known list");
