--- a/src/test/java/loadbalancer/discovery/DiscoveryLoadTest.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryLoadTest.java
@@ -2,18 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import java.util.ArrayList;
-import java.util.List;
-import loadbalancer.configuration.Configuration;
-import loadbalancer.policy.PolicySettings;
-import loadbalancer.testing.TestSidecar;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** The calls of a whole fleet at a service that handles them in turn, and when the last sidecar has the list. */
 class DiscoveryLoadTest {
-    private static final double STEP_MILLIS = 10;
     /** All sidecars have open watches by then. */
     private static final double PREPARED_MILLIS = 10_000;
 
@@ -34,66 +27,40 @@
         CHANGES
     }
 
-    private final ModelledDiscovery discovery = new ModelledDiscovery();
-    private final List<ModelledSidecar> sidecars = new ArrayList<>();
-    private double now;
-
-    private void run(double untilMillis) {
-        while (now < untilMillis) {
-            now += STEP_MILLIS;
-            for (ModelledSidecar sidecar : sidecars) {
-                sidecar.runTo(now);
-            }
-            discovery.runTo(now);
-        }
-    }
-
-    private void addSidecars(int count) throws Exception {
-        addSidecars(count, count);
-    }
-
-    /** Adds so many sidecars of a fleet. */
-    private void addSidecars(int count, int fleet) throws Exception {
-        String json = TestSidecar.config("127.0.0.1:1", "127.0.0.1:2", 64)
-                .replace("\"peers_total\":1", "\"peers_total\":" + fleet);
-        PolicySettings settings = Configuration.parse(json, new ObjectMapper()).settings();
-        for (int i = 0; i < count; i++) {
-            sidecars.add(new ModelledSidecar(discovery, settings, i));
-        }
-    }
+    private final ModelledFleet fleet = new ModelledFleet();
 
     /** Plays the event, and returns when discovery could be reached with a list that nobody had. */
     private double play(Event event) {
         double reachable = PREPARED_MILLIS;
         if (event == Event.START) {
-            run(PREPARED_MILLIS);
-            discovery.serviceTime(SERVICE_MILLIS);
-            sidecars.forEach(sidecar -> sidecar.start(now));
+            fleet.run(PREPARED_MILLIS);
+            fleet.discovery.serviceTime(SERVICE_MILLIS);
+            fleet.start();
         } else {
-            sidecars.forEach(sidecar -> sidecar.start(now));
-            run(PREPARED_MILLIS);
-            discovery.serviceTime(SERVICE_MILLIS);
+            fleet.start();
+            fleet.run(PREPARED_MILLIS);
+            fleet.discovery.serviceTime(SERVICE_MILLIS);
         }
         if (event == Event.OUTAGE) {
-            discovery.setDown(true);
-            sidecars.forEach(ModelledSidecar::failWatch);
-            run(PREPARED_MILLIS + OUTAGE_MILLIS);
-            discovery.setDown(false);
-            reachable = now;
+            fleet.discovery.setDown(true);
+            fleet.sidecars.forEach(ModelledSidecar::failWatch);
+            fleet.run(PREPARED_MILLIS + OUTAGE_MILLIS);
+            fleet.discovery.setDown(false);
+            reachable = fleet.now();
         } else if (event == Event.SILENCE) {
-            sidecars.forEach(ModelledSidecar::silenceWatch);
+            fleet.sidecars.forEach(ModelledSidecar::silenceWatch);
         } else if (event == Event.MOVE) {
-            sidecars.forEach(ModelledSidecar::move);
+            fleet.sidecars.forEach(ModelledSidecar::move);
         } else if (event == Event.CHANGES) {
-            sidecars.forEach(sidecar -> sidecar.setChanging(true));
+            fleet.sidecars.forEach(sidecar -> sidecar.setChanging(true));
         }
-        run(reachable + OBSERVED_MILLIS);
+        fleet.run(reachable + OBSERVED_MILLIS);
         return reachable;
     }
 
     private double lastListedAfter(double reachable) {
         double last = 0;
-        for (ModelledSidecar sidecar : sidecars) {
+        for (ModelledSidecar sidecar : fleet.sidecars) {
             double listedAt = sidecar.listedAtMillis();
             last = Math.max(last, listedAt >= reachable ? listedAt - reachable : Double.POSITIVE_INFINITY);
         }
@@ -129,12 +96,12 @@
     @ParameterizedTest
     @CsvSource({"70, 50", "70, 67", "70, 80", "100, 50"})
     void restartedSidecarsHaveListInTimeFromServiceThatRejectsCalls(int count, double serviceMillis) throws Exception {
-        addSidecars(count);
-        discovery.rejectAfter(2000);
-        run(PREPARED_MILLIS);
-        discovery.serviceTime(serviceMillis);
-        sidecars.forEach(sidecar -> sidecar.start(now));
-        run(PREPARED_MILLIS + OBSERVED_MILLIS);
+        fleet.add(count, count);
+        fleet.discovery.rejectAfter(2000);
+        fleet.run(PREPARED_MILLIS);
+        fleet.discovery.serviceTime(serviceMillis);
+        fleet.start();
+        fleet.run(PREPARED_MILLIS + OBSERVED_MILLIS);
         double last = lastListedAfter(PREPARED_MILLIS);
         System.out.println(count + " sidecars at " + serviceMillis + " ms a call: " + last);
         assertTrue(last <= NOTIFIED_WITHIN_MILLIS, "the last after " + last);
@@ -144,30 +111,30 @@
     @ParameterizedTest
     @CsvSource({"42, 60, 100, 12", "28, 40, 150, 7", "21, 30, 200, 5", "14, 20, 300, 2"})
     void sevenInTenRestartedHaveListInTimeFromServiceThatIsBusy(
-            int restarted, int fleet, double serviceMillis, int callsOfKilled) throws Exception {
-        addSidecars(restarted, fleet);
-        discovery.rejectAfter(2000);
-        run(PREPARED_MILLIS);
-        discovery.serviceTime(serviceMillis);
-        discovery.enqueueAbandoned(callsOfKilled, now);
-        sidecars.forEach(sidecar -> sidecar.start(now));
-        run(PREPARED_MILLIS + OBSERVED_MILLIS);
+            int restarted, int fleetSize, double serviceMillis, int callsOfKilled) throws Exception {
+        fleet.add(restarted, fleetSize);
+        fleet.discovery.rejectAfter(2000);
+        fleet.run(PREPARED_MILLIS);
+        fleet.discovery.serviceTime(serviceMillis);
+        fleet.discovery.enqueueAbandoned(callsOfKilled, fleet.now());
+        fleet.start();
+        fleet.run(PREPARED_MILLIS + OBSERVED_MILLIS);
         double last = lastListedAfter(PREPARED_MILLIS);
-        System.out.println(restarted + " of " + fleet + " sidecars at " + serviceMillis + " ms a call: " + last);
+        System.out.println(restarted + " of " + fleetSize + " sidecars at " + serviceMillis + " ms a call: " + last);
         assertTrue(last <= NOTIFIED_WITHIN_MILLIS, "the last after " + last);
     }
 
     private record Result(Event event, int sidecars, double lastListedMillis, long calls, long peakPerSecond) {}
 
     private Result measure(Event event, int count) throws Exception {
-        addSidecars(count);
+        fleet.add(count, count);
         double reachable = play(event);
         Result result = new Result(
                 event,
                 count,
                 lastListedAfter(reachable),
-                discovery.callsFrom(PREPARED_MILLIS),
-                discovery.peakCallsPerSecond(PREPARED_MILLIS));
+                fleet.discovery.callsFrom(PREPARED_MILLIS),
+                fleet.discovery.peakCallsPerSecond(PREPARED_MILLIS));
         System.out.println(result);
         return result;
     }
--- a/src/test/java/loadbalancer/discovery/DiscoveryReachTest.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryReachTest.java
@@ -2,13 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
-import java.util.ArrayList;
 import java.util.Arrays;
-import java.util.List;
-import loadbalancer.configuration.Configuration;
-import loadbalancer.policy.PolicySettings;
-import loadbalancer.testing.TestSidecar;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -17,7 +11,6 @@
  * change, and what the calls cost.
  */
 class DiscoveryReachTest {
-    private static final double STEP_MILLIS = 10;
     private static final double PREPARED_MILLIS = 10_000;
     private static final double ENDING_MILLIS = 20_000;
     private static final double OBSERVED_MILLIS = 60_000;
@@ -26,43 +19,25 @@
     /** From the end of the last call to the next one. */
     private static final double SMALL_FLEET_MAX_PAUSE_MILLIS = 600;
 
-    private final ModelledDiscovery discovery = new ModelledDiscovery();
-    private final List<ModelledSidecar> sidecars = new ArrayList<>();
-    private double now;
-
-    private void run(double untilMillis) {
-        while (now < untilMillis) {
-            now += STEP_MILLIS;
-            for (ModelledSidecar sidecar : sidecars) {
-                sidecar.runTo(now);
-            }
-            discovery.runTo(now);
-        }
-    }
+    private final ModelledFleet fleet = new ModelledFleet();
 
     private record Reach(int sidecars, double serviceMillis, double mostMillis, double allMillis, long callsInMinute) {}
 
     private Reach measure(int count, double serviceMillis) throws Exception {
-        String json = TestSidecar.config("127.0.0.1:1", "127.0.0.1:2", 64)
-                .replace("\"peers_total\":1", "\"peers_total\":" + count);
-        PolicySettings settings = Configuration.parse(json, new ObjectMapper()).settings();
-        for (int i = 0; i < count; i++) {
-            ModelledSidecar sidecar = new ModelledSidecar(discovery, settings, i);
-            sidecars.add(sidecar);
-            sidecar.start(now);
-        }
-        run(PREPARED_MILLIS);
-        discovery.serviceTime(serviceMillis);
-        sidecars.forEach(ModelledSidecar::endWatches);
-        run(PREPARED_MILLIS + ENDING_MILLIS);
-        double changeMillis = now;
+        fleet.add(count, count);
+        fleet.start();
+        fleet.run(PREPARED_MILLIS);
+        fleet.discovery.serviceTime(serviceMillis);
+        fleet.sidecars.forEach(ModelledSidecar::endWatches);
+        fleet.run(PREPARED_MILLIS + ENDING_MILLIS);
+        double changeMillis = fleet.now();
         double[] toldAfter = new double[count];
         Arrays.fill(toldAfter, Double.POSITIVE_INFINITY);
-        for (double until = changeMillis; until < changeMillis + OBSERVED_MILLIS; until += STEP_MILLIS) {
-            run(until + STEP_MILLIS);
+        while (fleet.now() < changeMillis + OBSERVED_MILLIS) {
+            fleet.runStep();
             for (int i = 0; i < count; i++) {
-                boolean told = sidecars.get(i).listedAtMillis() > changeMillis;
-                toldAfter[i] = told ? Math.min(toldAfter[i], now - changeMillis) : toldAfter[i];
+                boolean told = fleet.sidecars.get(i).listedAtMillis() > changeMillis;
+                toldAfter[i] = told ? Math.min(toldAfter[i], fleet.now() - changeMillis) : toldAfter[i];
             }
         }
         Arrays.sort(toldAfter);
@@ -71,7 +46,7 @@
                 serviceMillis,
                 toldAfter[(int) Math.ceil(NINE_IN_TEN * count) - 1],
                 toldAfter[count - 1],
-                discovery.callsFrom(changeMillis));
+                fleet.discovery.callsFrom(changeMillis));
         System.out.println(reach);
         return reach;
     }
