--- /dev/null
+++ b/review/standins/Rig.java
@@ -0,0 +1,209 @@
+import java.io.BufferedWriter;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+/** What all cases share: the record, the sidecars, which the deploy file's command starts, and the end of both. */
+final class Rig {
+    static final String LOOPBACK = "127.0.0.1";
+    private static final long LIMIT_MILLIS = 110_000;
+
+    /** One sidecar as a process of its own. */
+    final class Sidecar {
+        final String name;
+        final int port;
+        final Path config;
+        final Path log;
+        private Process process;
+
+        private Sidecar(String name, int port, Path config, Path log) {
+            this.name = name;
+            this.port = port;
+            this.config = config;
+            this.log = log;
+        }
+
+        void start(int discoveryPort) throws IOException {
+            Path temporary = Files.createDirectories(folder.resolve(name + "-tmp"));
+            ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", deployCommand("run"));
+            builder.directory(root.toFile());
+            builder.environment().put("PROXY_NAME", name);
+            builder.environment().put("PROXY_LISTEN", LOOPBACK + ":" + port);
+            builder.environment().put("PROXY_DISCOVERY", LOOPBACK + ":" + discoveryPort);
+            builder.environment().put("PROXY_CONFIG", config.toString());
+            builder.environment().put("TMPDIR", temporary.toString());
+            builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+            builder.redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()));
+            process = builder.start();
+            record(name + " started");
+        }
+
+        boolean alive() {
+            return process.isAlive();
+        }
+
+        int exitCode() throws InterruptedException {
+            return process.waitFor();
+        }
+
+        void signal(String signal) throws Exception {
+            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+            record(name + " got SIG" + signal);
+        }
+
+        /** Waits until /health/ready answers 200; false after 30 s, or if the process has ended. */
+        boolean awaitReady() throws InterruptedException {
+            long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
+            while (System.nanoTime() < end && alive()) {
+                try (Client client = new Client(port)) {
+                    client.send("GET /health/ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n");
+                    if (client.answer(1000).status == 200) {
+                        record(name + " is ready");
+                        return true;
+                    }
+                } catch (IOException e) {
+                    // Not listening yet.
+                }
+                Thread.sleep(50);
+            }
+            return false;
+        }
+
+        private void kill() {
+            if (process != null) {
+                process.destroyForcibly();
+            }
+        }
+
+        private void end() throws InterruptedException {
+            kill();
+            if (process != null) {
+                process.waitFor(10, TimeUnit.SECONDS);
+            }
+        }
+    }
+
+    /** False with TROUBLE=0: the same run without the disruption. */
+    final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+
+    final Path root;
+    private final Path folder;
+    private final BufferedWriter record;
+    private final long startNanos = System.nanoTime();
+    private final List<Sidecar> sidecars = new ArrayList<>();
+
+    /** A rig whose record is record.txt in the folder of its case. */
+    Rig(String caseFolder) throws IOException {
+        Path caseDirectory = Path.of(caseFolder).toAbsolutePath().normalize();
+        root = caseDirectory.getParent().getParent();
+        folder = Files.createTempDirectory("review");
+        record = Files.newBufferedWriter(caseDirectory.resolve("record.txt"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> sidecars.forEach(Sidecar::kill)));
+        Thread watchdog = new Thread(() -> {
+            try {
+                Thread.sleep(LIMIT_MILLIS);
+                finish(2, "could not run: the time is over");
+            } catch (Exception e) {
+                Runtime.getRuntime().halt(2);
+            }
+        });
+        watchdog.setDaemon(true);
+        watchdog.start();
+        record(trouble ? "run with the disruption" : "run without the disruption (TROUBLE=0)");
+    }
+
+    double seconds() {
+        return (System.nanoTime() - startNanos) / 1e9;
+    }
+
+    synchronized void record(String line) {
+        try {
+            record.write(String.format(Locale.ROOT, "%9.3f %s%n", seconds(), line));
+            record.flush();
+        } catch (IOException e) {
+            // The record was closed while the last threads end.
+        }
+    }
+
+    /** Returns a command of the deploy file. */
+    String deployCommand(String name) throws IOException {
+        String file = Files.readString(root.resolve("deploy/balancer.toml"));
+        Matcher matcher = Pattern.compile("(?m)^" + name + " = \"(.*)\"$").matcher(file);
+        if (!matcher.find()) {
+            throw new IOException("no command " + name);
+        }
+        return matcher.group(1).replace("\\\"", "\"");
+    }
+
+    static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket()) {
+            socket.bind(new InetSocketAddress(InetAddress.getByName(LOOPBACK), 0));
+            return socket.getLocalPort();
+        }
+    }
+
+    /** Makes a sidecar, not yet started. */
+    Sidecar sidecar(String name, int discoveryPort, Settings settings, String known) throws IOException {
+        Sidecar sidecar = new Sidecar(
+                name, freePort(), folder.resolve(name + ".json"), folder.resolve(name + ".log"));
+        writeConfig(sidecar, discoveryPort, settings, known);
+        sidecars.add(sidecar);
+        return sidecar;
+    }
+
+    void writeConfig(Sidecar sidecar, int discoveryPort, Settings settings, String known) throws IOException {
+        Path next = folder.resolve(sidecar.name + ".json.next");
+        Files.writeString(
+                next,
+                "{\"name\":\"" + sidecar.name + "\",\"listen\":\"" + LOOPBACK + ":" + sidecar.port
+                        + "\",\"discovery\":\"" + LOOPBACK + ":" + discoveryPort + "\",\"seed\":\""
+                        + Long.toHexString(System.nanoTime() & 0xffffffffL) + "\",\"limits\":{\"cores\":1.0,"
+                        + "\"memory_mb\":192,\"sockets\":1024},\"known\":" + known + ",\"settings\":"
+                        + settings.json() + "}");
+        Files.move(next, sidecar.config, java.nio.file.StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    /** Copies the last lines of the sidecars' logs into the record. */
+    void recordLogs() throws IOException {
+        for (Sidecar sidecar : sidecars) {
+            if (Files.exists(sidecar.log)) {
+                List<String> lines = Files.readAllLines(sidecar.log, StandardCharsets.ISO_8859_1);
+                for (String line : lines.subList(Math.max(0, lines.size() - 40), lines.size())) {
+                    record("log of " + sidecar.name + ": " + line);
+                }
+            }
+        }
+    }
+
+    /** Ends the run with the exit code of its script: 1 if the rule was broken, 0 if it held, 2 if it could not run. */
+    void finish(int code, String verdict) throws Exception {
+        recordLogs();
+        record("verdict: " + verdict);
+        System.out.println(verdict);
+        close();
+        Runtime.getRuntime().halt(code);
+    }
+
+    private void close() throws Exception {
+        for (Sidecar sidecar : sidecars) {
+            sidecar.end();
+        }
+        record.close();
+        try (Stream<Path> files = Files.walk(folder)) {
+            files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
+        }
+    }
+}
