--- a/review/standins/PushStartCase.java
+++ b/review/standins/PushStartCase.java
@@ -54,8 +54,7 @@
             };
         }
         Thread.sleep(1000);
-        sidecar.signal("KILL");
-        sidecar.exitCode();
+        sidecar.killNow();
         toDraining.clear();
         double started = rig.seconds();
         sidecar.start(registry.port());
--- a/review/standins/Registry.java
+++ b/review/standins/Registry.java
@@ -34,7 +34,9 @@
     private final class Watch {
         final Socket socket;
         long told;
-        volatile boolean silent;
+        boolean silent;
+        /** An empty line comes every 2 s as long as nothing changes. */
+        double lineDue = rig.seconds() + LINE_SECONDS;
 
         Watch(Socket socket, long told) {
             this.socket = socket;
@@ -42,6 +44,8 @@
         }
     }
 
+    private static final double LINE_SECONDS = 2;
+
     private final Rig rig;
     private final ServerSocket server;
     private final Map<String, Host> hosts = new LinkedHashMap<>();
@@ -159,16 +163,22 @@
         }
     }
 
+    /** Returns right after the next empty line is written. */
+    synchronized void awaitPulse() throws InterruptedException {
+        wait();
+    }
+
     private void pulse() {
         while (!server.isClosed()) {
             try {
-                Thread.sleep(2000);
+                Thread.sleep(5);
             } catch (InterruptedException e) {
                 return;
             }
             synchronized (this) {
                 for (Watch watch : List.copyOf(watches)) {
-                    if (!watch.silent) {
+                    if (!watch.silent && rig.seconds() >= watch.lineDue) {
+                        notifyAll();
                         send(watch, "\n");
                     }
                 }
@@ -179,6 +189,7 @@
     private synchronized boolean send(Watch watch, String line) {
         try {
             byte[] bytes = line.getBytes(StandardCharsets.ISO_8859_1);
+            watch.lineDue = rig.seconds() + LINE_SECONDS;
             OutputStream output = watch.socket.getOutputStream();
             byte[] size = (Integer.toHexString(bytes.length) + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
             byte[] chunk = new byte[size.length + bytes.length + 2];
--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -55,13 +55,11 @@
             return process.isAlive();
         }
 
-        int exitCode() throws InterruptedException {
-            return process.waitFor();
-        }
-
-        void signal(String signal) throws Exception {
-            new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
-            record(name + " got SIG" + signal);
+        /** Kills the process and waits for its end. */
+        void killNow() throws InterruptedException {
+            kill();
+            process.waitFor();
+            record(name + " was killed");
         }
 
         /** Waits until /health/ready answers 200; false after 30 s, or if the process has ended. */
