Review scripts: 2 for each run that says nothing, and whole records

A run whose stand-in fails by an exception, or that is timed out or ended by a signal, exits with 2 instead of 1 or 124, and ends its processes and its folder. The records have each request sent, answered and run.

--- a/review/standins/BigListCase.java
+++ b/review/standins/BigListCase.java
@@ -39,7 +39,7 @@
         Rig.Sidecar sidecar = rig.sidecar("n0", registry.port(), settings, known);
         sidecar.start(registry.port());
         if (!sidecar.awaitReady()) {
-            rig.finish(2, "could not run: the sidecar is not ready");
+            rig.notRun("the sidecar is not ready");
         }
         int served = use(sidecar, rig, rig.seconds() + 5);
         Map<String, Integer> counts = new HashMap<>();
@@ -61,17 +61,17 @@
         String text = String.format("%d requests sent to %s more than %.2f s after the sidecar was told; served %d",
                 broken, busiest, GRACE_SECONDS, served);
         if (served == 0 || Double.isNaN(told)) {
-            rig.finish(2, "could not run: " + text + ", told at " + told);
+            rig.notRun(text + ", told at " + told);
         }
-        rig.finish(broken > 0 ? 1 : 0, (broken > 0 ? "broken: " : "held: ") + text);
+        rig.verdict(broken > 0, text);
     }
 
     private static int use(Rig.Sidecar sidecar, Rig rig, double until) throws Exception {
         int served = 0;
         try (Client client = new Client(sidecar.port)) {
             while (rig.seconds() < until) {
-                client.send(Client.get(Client.newId(), "stop-info", 1.1));
-                served += client.answer(5000).status == 200 ? 1 : 0;
+                String id = Client.newId();
+                served += rig.ask(client, id, Client.get(id, "stop-info", 1.1), 5000).status == 200 ? 1 : 0;
                 Thread.sleep(20);
             }
         }
--- a/review/standins/CutOffCase.java
+++ b/review/standins/CutOffCase.java
@@ -40,7 +40,7 @@
         Rig.Sidecar sidecar = rig.sidecar("n0", registry.port(), settings, known);
         sidecar.start(registry.port());
         if (!sidecar.awaitReady()) {
-            rig.finish(2, "could not run: the sidecar is not ready");
+            rig.notRun("the sidecar is not ready");
         }
         for (int i = 0; i < USERS; i++) {
             Thread user = new Thread(() -> use(rig, sidecar));
@@ -85,17 +85,17 @@
         String text = String.format("%d requests sent to a draining guide server over %.2f s after it counted as told",
                 broken, GRACE_SECONDS);
         if (before == 0 || Double.isNaN(told)) {
-            rig.finish(2, "could not run: " + text + ", " + before + " before");
+            rig.notRun(text + ", " + before + " before");
         }
-        rig.finish(broken > 0 ? 1 : 0, (broken > 0 ? "broken: " : "held: ") + text);
+        rig.verdict(broken > 0, text);
     }
 
     private static void use(Rig rig, Rig.Sidecar sidecar) {
         while (true) {
             try (Client client = new Client(sidecar.port)) {
                 while (true) {
-                    client.send(Client.get(Client.newId(), "stop-info", 1.1));
-                    client.answer(5000);
+                    String id = Client.newId();
+                    rig.ask(client, id, Client.get(id, "stop-info", 1.1), 5000);
                     Thread.sleep(20);
                 }
             } catch (Exception e) {
--- a/review/standins/FloodCase.java
+++ b/review/standins/FloodCase.java
@@ -41,7 +41,7 @@
         Rig.Sidecar sidecar = rig.sidecar("n0", registry.port(), settings, registry.whole());
         sidecar.start(registry.port());
         if (!sidecar.awaitReady()) {
-            rig.finish(2, "could not run: the sidecar is not ready");
+            rig.notRun("the sidecar is not ready");
         }
         Thread.sleep(2000);
         AtomicLong badAnswered = new AtomicLong();
@@ -64,14 +64,14 @@
         rig.record("guide servers ran " + run + " requests; bad clients got " + badAnswered + " errors");
         rig.record("answers to usual clients: " + counts);
         if (!sidecar.alive()) {
-            rig.finish(1, "broken: the sidecar has ended");
+            rig.verdict(true, "the sidecar has ended");
         }
         int lost = counts.getOrDefault("LOST", 0);
         int answered = counts.getOrDefault("200", 0);
         if (lost == 0 && answered == 0) {
-            rig.finish(2, "could not run: nothing was served");
+            rig.notRun("nothing was served");
         }
-        rig.finish(lost > 0 ? 1 : 0, lost > 0 ? "broken: lost " + counts : "held: " + counts);
+        rig.verdict(lost > 0, counts.toString());
     }
 
     private static Thread daemon(Runnable task) {
--- a/review/standins/Guide.java
+++ b/review/standins/Guide.java
@@ -106,6 +106,7 @@
                 if (request == null) {
                     return;
                 }
+                rig.record("run: " + request.id + " has arrived whole at " + host);
                 handler.handle(this, request, socket);
             }
         } catch (Exception e) {
--- a/review/standins/PushStartCase.java
+++ b/review/standins/PushStartCase.java
@@ -34,7 +34,7 @@
         registry.health(DRAINING, "draining");
         sidecar.start(registry.port());
         if (!sidecar.awaitReady()) {
-            rig.finish(2, "could not run: the first process is not ready");
+            rig.notRun("the first process is not ready");
         }
         use(rig, sidecar, rig.seconds() + 2);
         int before = toDraining.size();
@@ -58,7 +58,7 @@
         double started = rig.seconds();
         sidecar.start(registry.port());
         if (!sidecar.awaitReady()) {
-            rig.finish(2, "could not run: the second process is not ready");
+            rig.notRun("the second process is not ready");
         }
         double ready = rig.seconds();
         int served = use(rig, sidecar, down + OUTAGE_SECONDS + 4);
@@ -72,17 +72,18 @@
         String text = String.format("%d requests sent to a draining guide server; ready %.1f s after the start; %d served",
                 broken, ready - started, served);
         if (served == 0 || before > 0) {
-            rig.finish(2, "could not run: " + text);
+            rig.notRun(text);
         }
-        rig.finish(broken > 0 ? 1 : 0, (broken > 0 ? "broken: " : "held: ") + text);
+        rig.verdict(broken > 0, text);
     }
 
     private static int use(Rig rig, Rig.Sidecar sidecar, double until) throws Exception {
         int served = 0;
         try (Client client = new Client(sidecar.port)) {
             while (rig.seconds() < until) {
-                client.send(Client.get(Client.newId(), "rota-view", 0.5).replace("rantamuseo", "east-wing"));
-                served += client.answer(5000).status == 200 ? 1 : 0;
+                String id = Client.newId();
+                String request = Client.get(id, "rota-view", 0.5).replace("rantamuseo", "east-wing");
+                served += rig.ask(client, id, request, 5000).status == 200 ? 1 : 0;
                 Thread.sleep(20);
             }
         }
--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -1,17 +1,19 @@
 import java.io.BufferedWriter;
 import java.io.File;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -19,7 +21,12 @@
 /** What all cases share: the record, the sidecars, which the deploy file's command starts, and the end of both. */
 final class Rig {
     static final String LOOPBACK = "127.0.0.1";
-    private static final long LIMIT_MILLIS = 110_000;
+    /** Exit codes of a run, of which run.sh makes its own: the JVM itself ends with 1 where it can't start. */
+    private static final int HELD = 0;
+
+    private static final int BROKEN = 10;
+    private static final int NOT_RUN = 2;
+    private static final long LIMIT_MILLIS = 105_000;
 
     /** One sidecar as a process of its own. */
     final class Sidecar {
@@ -57,8 +64,7 @@
 
         /** Kills the process and waits for its end. */
         void killNow() throws InterruptedException {
-            kill();
-            process.waitFor();
+            process.destroyForcibly().waitFor();
             record(name + " was killed");
         }
 
@@ -80,16 +86,13 @@
             return false;
         }
 
-        private void kill() {
-            if (process != null) {
-                process.destroyForcibly();
-            }
-        }
-
-        private void end() throws InterruptedException {
-            kill();
-            if (process != null) {
-                process.waitFor(10, TimeUnit.SECONDS);
+        private void end() {
+            try {
+                if (process != null) {
+                    process.destroyForcibly().waitFor(10, TimeUnit.SECONDS);
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
             }
         }
     }
@@ -101,7 +104,9 @@
     private final Path folder;
     private final BufferedWriter record;
     private final long startNanos = System.nanoTime();
-    private final List<Sidecar> sidecars = new ArrayList<>();
+    private final List<Sidecar> sidecars = new CopyOnWriteArrayList<>();
+    private final AtomicBoolean finishing = new AtomicBoolean();
+    private boolean recordClosed;
 
     /** A rig whose record is record.txt in the folder of its case. */
     Rig(String caseFolder) throws IOException {
@@ -109,15 +114,17 @@
         root = caseDirectory.getParent().getParent();
         folder = Files.createTempDirectory("review");
         record = Files.newBufferedWriter(caseDirectory.resolve("record.txt"));
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> sidecars.forEach(Sidecar::kill)));
-        Thread watchdog = new Thread(() -> {
-            try {
-                Thread.sleep(LIMIT_MILLIS);
-                finish(2, "could not run: the time is over");
-            } catch (Exception e) {
-                Runtime.getRuntime().halt(2);
+        Runtime.getRuntime().addShutdownHook(new Thread(this::cleanUp));
+        Thread.setDefaultUncaughtExceptionHandler((thread, cause) -> {
+            record("thread " + thread.getName() + ": " + cause);
+            if (thread.getName().equals("main")) {
+                notRun(cause.toString());
             }
         });
+        Thread watchdog = new Thread(() -> {
+            sleep(LIMIT_MILLIS);
+            notRun("the time is over");
+        });
         watchdog.setDaemon(true);
         watchdog.start();
         record(trouble ? "run with the disruption" : "run without the disruption (TROUBLE=0)");
@@ -127,15 +134,28 @@
         return (System.nanoTime() - startNanos) / 1e9;
     }
 
+    /** Writes a line of what was sent, answered and run; nothing once the verdict is written. */
     synchronized void record(String line) {
+        if (recordClosed) {
+            return;
+        }
         try {
             record.write(String.format(Locale.ROOT, "%9.3f %s%n", seconds(), line));
             record.flush();
         } catch (IOException e) {
-            // The record was closed while the last threads end.
+            throw new UncheckedIOException(e);
         }
     }
 
+    /** Sends a request and waits for its answer; records both. */
+    Client.Answer ask(Client client, String id, String request, int waitMillis) throws IOException {
+        record("sent: " + id + ", " + request.substring(0, request.indexOf(' ')));
+        client.send(request);
+        Client.Answer answer = client.answer(waitMillis);
+        record("answered: " + id + ", " + answer.status);
+        return answer;
+    }
+
     /** Returns a command of the deploy file. */
     String deployCommand(String name) throws IOException {
         String file = Files.readString(root.resolve("deploy/balancer.toml"));
@@ -186,22 +206,49 @@
         }
     }
 
-    /** Ends the run with the exit code of its script: 1 if the rule was broken, 0 if it held, 2 if it could not run. */
-    void finish(int code, String verdict) throws Exception {
-        recordLogs();
+    /** Ends the run by what it showed. */
+    void verdict(boolean broken, String text) {
+        finish(broken ? BROKEN : HELD, (broken ? "broken: " : "held: ") + text);
+    }
+
+    /** Ends a run that says nothing about the rule. */
+    void notRun(String why) {
+        finish(NOT_RUN, "could not run: " + why);
+    }
+
+    private void finish(int code, String verdict) {
+        if (!finishing.compareAndSet(false, true)) {
+            sleep(LIMIT_MILLIS);
+        }
+        try {
+            recordLogs();
+        } catch (IOException e) {
+            record("no logs: " + e);
+        }
         record("verdict: " + verdict);
         System.out.println(verdict);
-        close();
+        cleanUp();
         Runtime.getRuntime().halt(code);
     }
 
-    private void close() throws Exception {
-        for (Sidecar sidecar : sidecars) {
-            sidecar.end();
+    /** Ends the processes and removes the temporary folder. */
+    private void cleanUp() {
+        synchronized (this) {
+            recordClosed = true;
         }
-        record.close();
+        sidecars.forEach(Sidecar::end);
         try (Stream<Path> files = Files.walk(folder)) {
             files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
+        } catch (IOException | UncheckedIOException e) {
+            System.out.println("the temporary folder was not removed: " + e);
+        }
+    }
+
+    private static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 }
--- a/review/standins/ShortLengthCase.java
+++ b/review/standins/ShortLengthCase.java
@@ -33,7 +33,7 @@
         Rig.Sidecar sidecar = rig.sidecar("n0", registry.port(), settings, registry.whole());
         sidecar.start(registry.port());
         if (!sidecar.awaitReady()) {
-            rig.finish(2, "could not run: the sidecar is not ready");
+            rig.notRun("the sidecar is not ready");
         }
         Thread.sleep(1000);
         int whole = 0;
@@ -42,13 +42,12 @@
         Client client = new Client(sidecar.port);
         for (int i = 0; i < REQUESTS; i++) {
             String id = Client.newId();
-            client.send(i % 2 == 0
+            String request = i % 2 == 0
                     ? Client.get(id, "stop-info", 1.1)
-                    : Client.post(id, "code-redeem", 1.1, Client.newId(), "code 4711"));
-            Client.Answer answer = client.answer(5000);
+                    : Client.post(id, "code-redeem", 1.1, Client.newId(), "code 4711");
+            Client.Answer answer = rig.ask(client, id, request, 5000);
             if (answer.status != 200) {
                 other++;
-                rig.record("request " + id + " answered " + answer.status);
             } else if (answer.text().equals(Guide.bodyFor(id))) {
                 whole++;
             } else {
@@ -65,8 +64,8 @@
         String counts = whole + " served as made, " + wrong + " with another body, " + other + " refused or failed";
         rig.record(counts);
         if (whole == 0) {
-            rig.finish(2, "could not run: " + counts);
+            rig.notRun(counts);
         }
-        rig.finish(wrong > 0 ? 1 : 0, (wrong > 0 ? "broken: " : "held: ") + counts);
+        rig.verdict(wrong > 0, counts);
     }
 }
