Review scripts: loopback addresses of its own for each run

Runs that were started at the same moment got the same free port, which a sidecar binds only a second later, and three of four talked to another run's sidecar. Each run now has addresses of 127.0.0.0/8 of its own, and a verdict needs the run's sidecars alive. No check, bound or disruption changed.

--- a/review/standins/Client.java
+++ b/review/standins/Client.java
@@ -29,7 +29,7 @@
 
     Client(int port) throws IOException {
         socket.setTcpNoDelay(true);
-        socket.connect(new InetSocketAddress(Rig.LOOPBACK, port), 2000);
+        socket.connect(new InetSocketAddress(Rig.SIDECARS, port), 2000);
         input = socket.getInputStream();
     }
 
--- a/review/standins/CutOffCase.java
+++ b/review/standins/CutOffCase.java
@@ -36,7 +36,7 @@
         Settings settings = Settings.site();
         settings.sidecars = 3;
         String known = registry.whole();
-        registry.put("s-00000009", Rig.freePort(), "oulu-1", "gen2", 1, "draining", 0);
+        registry.put("s-00000009", Rig.freePort(Rig.STANDINS), "oulu-1", "gen2", 1, "draining", 0);
         Rig.Sidecar sidecar = rig.sidecar("n0", registry.port(), settings, known);
         sidecar.start(registry.port());
         if (!sidecar.awaitReady()) {
--- a/review/standins/FloodCase.java
+++ b/review/standins/FloodCase.java
@@ -64,7 +64,7 @@
         rig.record("guide servers ran " + run + " requests; bad clients got " + badAnswered + " errors");
         rig.record("answers to usual clients: " + counts);
         if (!sidecar.alive()) {
-            rig.verdict(true, "the sidecar has ended");
+            rig.crashed();
         }
         int lost = counts.getOrDefault("LOST", 0);
         int answered = counts.getOrDefault("200", 0);
--- a/review/standins/Guide.java
+++ b/review/standins/Guide.java
@@ -41,7 +41,7 @@
     /** A guide server that listens on a free port. */
     Guide(Rig rig, String host, Handler handler) throws IOException {
         this(rig, host, handler, new ServerSocket());
-        server.bind(new InetSocketAddress(InetAddress.getByName(Rig.LOOPBACK), 0), 256);
+        server.bind(new InetSocketAddress(InetAddress.getByName(Rig.STANDINS), 0), 256);
         Thread acceptor = new Thread(this::accept, host);
         acceptor.setDaemon(true);
         acceptor.start();
--- a/review/standins/GuideFleet.java
+++ b/review/standins/GuideFleet.java
@@ -16,7 +16,7 @@
     GuideFleet(Rig rig, int count, Guide.Handler handler) throws IOException {
         for (int i = 0; i < count; i++) {
             ServerSocketChannel channel = ServerSocketChannel.open();
-            channel.bind(new InetSocketAddress(InetAddress.getByName(Rig.LOOPBACK), 0), 64);
+            channel.bind(new InetSocketAddress(InetAddress.getByName(Rig.STANDINS), 0), 64);
             channel.configureBlocking(false);
             Guide guide = new Guide(rig, String.format("s-%08x", i * 0x9E3779B1), handler, channel.socket());
             channel.register(selector, SelectionKey.OP_ACCEPT, guide);
--- a/review/standins/Registry.java
+++ b/review/standins/Registry.java
@@ -62,7 +62,7 @@
     Registry(Rig rig) throws IOException {
         this.rig = rig;
         this.server = new ServerSocket();
-        server.bind(new InetSocketAddress(InetAddress.getByName(Rig.LOOPBACK), 0), 256);
+        server.bind(new InetSocketAddress(InetAddress.getByName(Rig.STANDINS), 0), 256);
         Thread acceptor = new Thread(this::accept, "registry");
         acceptor.setDaemon(true);
         acceptor.start();
@@ -78,7 +78,7 @@
     /** Adds or replaces a guide server, or changes its health. */
     synchronized void put(String host, int port, String zone, String kind, int block, String health, long born) {
         Host known = new Host();
-        known.entry = "{\"host\":\"" + host + "\",\"dial\":\"127.0.0.1:" + port + "\",\"site\":\"" + zone
+        known.entry = "{\"host\":\"" + host + "\",\"dial\":\"" + Rig.STANDINS + ":" + port + "\",\"site\":\"" + zone
                 + "\",\"class\":\"" + kind + "\",\"block\":" + block
                 + ",\"health\":\"HEALTH\",\"share\":1.0,\"born_ms\":" + born + "}";
         known.health = health;
--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -20,7 +20,11 @@
 
 /** What all cases share: the record, the sidecars, which the deploy file's command starts, and the end of both. */
 final class Rig {
-    static final String LOOPBACK = "127.0.0.1";
+    /** Where the stand-ins of this run listen, and where its sidecars do: no other run uses these addresses. */
+    static final String STANDINS = address(64);
+
+    static final String SIDECARS = address(128);
+
     /** Exit codes of a run, of which run.sh makes its own: the JVM itself ends with 1 where it can't start. */
     private static final int HELD = 0;
 
@@ -48,8 +52,8 @@
             ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", deployCommand("run"));
             builder.directory(root.toFile());
             builder.environment().put("PROXY_NAME", name);
-            builder.environment().put("PROXY_LISTEN", LOOPBACK + ":" + port);
-            builder.environment().put("PROXY_DISCOVERY", LOOPBACK + ":" + discoveryPort);
+            builder.environment().put("PROXY_LISTEN", SIDECARS + ":" + port);
+            builder.environment().put("PROXY_DISCOVERY", STANDINS + ":" + discoveryPort);
             builder.environment().put("PROXY_CONFIG", config.toString());
             builder.environment().put("TMPDIR", temporary.toString());
             builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
@@ -74,7 +78,7 @@
             while (System.nanoTime() < end && alive()) {
                 try (Client client = new Client(port)) {
                     client.send("GET /health/ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n");
-                    if (client.answer(1000).status == 200) {
+                    if (client.answer(1000).status == 200 && alive()) {
                         record(name + " is ready");
                         return true;
                     }
@@ -166,9 +170,15 @@
         return matcher.group(1).replace("\\\"", "\"");
     }
 
-    static int freePort() throws IOException {
+    /** An address of 127.0.0.0/8 by the id of this process. */
+    private static String address(int second) {
+        long id = ProcessHandle.current().pid();
+        return "127." + (second + id / 62_500 % 64) + "." + id / 250 % 250 + "." + (1 + id % 250);
+    }
+
+    static int freePort(String address) throws IOException {
         try (ServerSocket socket = new ServerSocket()) {
-            socket.bind(new InetSocketAddress(InetAddress.getByName(LOOPBACK), 0));
+            socket.bind(new InetSocketAddress(InetAddress.getByName(address), 0));
             return socket.getLocalPort();
         }
     }
@@ -176,7 +186,7 @@
     /** Makes a sidecar, not yet started. */
     Sidecar sidecar(String name, int discoveryPort, Settings settings, String known) throws IOException {
         Sidecar sidecar = new Sidecar(
-                name, freePort(), folder.resolve(name + ".json"), folder.resolve(name + ".log"));
+                name, freePort(SIDECARS), folder.resolve(name + ".json"), folder.resolve(name + ".log"));
         writeConfig(sidecar, discoveryPort, settings, known);
         sidecars.add(sidecar);
         return sidecar;
@@ -186,8 +196,8 @@
         Path next = folder.resolve(sidecar.name + ".json.next");
         Files.writeString(
                 next,
-                "{\"name\":\"" + sidecar.name + "\",\"listen\":\"" + LOOPBACK + ":" + sidecar.port
-                        + "\",\"discovery\":\"" + LOOPBACK + ":" + discoveryPort + "\",\"seed\":\""
+                "{\"name\":\"" + sidecar.name + "\",\"listen\":\"" + SIDECARS + ":" + sidecar.port
+                        + "\",\"discovery\":\"" + STANDINS + ":" + discoveryPort + "\",\"seed\":\""
                         + Long.toHexString(System.nanoTime() & 0xffffffffL) + "\",\"limits\":{\"cores\":1.0,"
                         + "\"memory_mb\":192,\"sockets\":1024},\"known\":" + known + ",\"settings\":"
                         + settings.json() + "}");
@@ -206,11 +216,19 @@
         }
     }
 
-    /** Ends the run by what it showed. */
+    /** Ends the run by what it showed, if its sidecars have lived to the end. */
     void verdict(boolean broken, String text) {
+        if (!sidecars.stream().allMatch(Sidecar::alive)) {
+            notRun("a sidecar has ended; " + text);
+        }
         finish(broken ? BROKEN : HELD, (broken ? "broken: " : "held: ") + text);
     }
 
+    /** Ends a run whose sidecar has ended without being told to. */
+    void crashed() {
+        finish(BROKEN, "broken: the sidecar has ended");
+    }
+
     /** Ends a run that says nothing about the rule. */
     void notRun(String why) {
         finish(NOT_RUN, "could not run: " + why);
