Fail a response followed by what may be the rest of its body

Cause: EndpointConnection.channelRead0 noted bytes behind a complete response (markSurplusReceived) only to close the connection; completeExchange passed the body on all the same. Second, on the same path: where the last read of a turn ended just behind the stated length, the rest was not looked at before the response was passed on.

Change: SurplusBytes examines what follows in the same pass. Only a duplicate (it follows at once, with the same status line and fields) proves that the response ended where its framing says. After anything else the attempt has failed and may have run; a pass that was cut short is followed by a fresh select first. This works since the bytes of a cut body are then never taken for surplus that doesn't matter. The outcome is ERROR, not RESET: the endpoint answered in time, and DESIGN counts only refusals, time-outs and failed connections as not accepted.

--- a/src/main/java/loadbalancer/policy/AttemptOutcome.java
+++ b/src/main/java/loadbalancer/policy/AttemptOutcome.java
@@ -4,7 +4,7 @@
 public enum AttemptOutcome {
     /** A complete response with status 200. */
     SUCCESS(false),
-    /** A complete response that reports an error. */
+    /** A complete response that reports an error, or whose body may be cut off: no sign of overload. */
     ERROR(false),
     /** The endpoint rejected the request before it started any work. */
     REJECTED(true),
--- a/src/main/java/loadbalancer/upstream/EndpointConnection.java
+++ b/src/main/java/loadbalancer/upstream/EndpointConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import loadbalancer.eventloop.Clock;
 import loadbalancer.eventloop.FailFastEventLoop;
+import loadbalancer.eventloop.SelectBarrier;
 import loadbalancer.memory.MemoryBudget;
 import loadbalancer.memory.MemoryHolding;
 import loadbalancer.memory.MemoryLimitException;
@@ -27,7 +28,8 @@
 
 /**
  * One connection to an endpoint. It writes one request at a time and reads its response; a response that is malformed,
- * stalls or is followed by surplus bytes ends the connection.
+ * stalls or is followed by surplus bytes ends the connection. One that is followed by anything but a duplicate of itself
+ * fails its attempt: its body may be cut off.
  *
  * <p>Between two exchanges a connection is quarantined, then idle. Any byte that comes then closes it and suspends the
  * reuse of all connections.
@@ -39,13 +41,16 @@
     private final StallDetector stallDetector;
     private final MemoryHolding headMemory;
     private final MemoryHolding bufferMemory;
-    private final EndpointResponseDecoder decoder = new EndpointResponseDecoder(this::fieldAdded);
+    private final SurplusBytes surplus = new SurplusBytes();
+    private final EndpointResponseDecoder decoder = new EndpointResponseDecoder(this::fieldAdded, surplus);
     private final ResponseAssembler response;
     private Channel channel;
     /** Null while no request is being processed on this connection. */
     private Exchange exchange;
 
     private boolean used;
+    /** How often all that a turn allows has been read. */
+    private long passes;
     /** A read returned end of stream, and no call on the socket had failed before. */
     private boolean streamEnded;
 
@@ -207,9 +212,9 @@
         if (exchange == null) {
             return;
         }
-        // The end of the read decides what becomes of the connection.
+        // The end of the pass decides what becomes of response and connection.
         if (exchange.responseComplete()) {
-            exchange.markSurplusReceived();
+            surplus.decoded(message);
             return;
         }
         // An endpoint that ends the stream before it has received the complete request doesn't answer that request.
@@ -221,6 +226,7 @@
         }
         if (state == ResponseAssembler.State.COMPLETE) {
             exchange.markResponseComplete();
+            surplus.expectAfter(response.head());
         }
         if (message instanceof LastHttpContent) {
             decoder.responseEnded();
@@ -229,18 +235,39 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        passes++;
         if (!exchangeActive()) {
             return;
         }
         if (decoder.framingExceeded()) {
             closeFailed();
         } else if (exchange.responseComplete()) {
-            completeExchange();
+            responseComplete();
         } else if (decoder.hasPartialResponse()) {
             stallDetector.watch(exchange);
         }
     }
 
+    // What follows a response is known only once all bytes that have come are read. A pass that was cut short may have
+    // left some unread, which the next one finds, right after the next select.
+    private void responseComplete() {
+        if (readEverything()) {
+            completeExchange();
+            return;
+        }
+        long cutPass = passes;
+        SelectBarrier.runAfterSelect(channel.eventLoop(), () -> {
+            if (passes == cutPass && exchangeActive()) {
+                completeExchange();
+            }
+        });
+    }
+
+    private boolean readEverything() {
+        var reads = channel.unsafe().recvBufAllocHandle();
+        return reads.lastBytesRead() <= 0 || reads.lastBytesRead() < reads.attemptedBytesRead();
+    }
+
     @Override
     public void responseStalled() {
         closeFailed();
@@ -249,6 +276,7 @@
     // An idle connection holds nothing of the responses that it has carried.
     private void dropResponse() {
         response.reset();
+        surplus.reset();
         headMemory.release();
     }
 
@@ -263,7 +291,7 @@
         }
         HttpResponse head = response.head();
         HttpHeaders headers = head.headers();
-        AttemptOutcome outcome = ResponseClassifier.classify(head);
+        AttemptOutcome outcome = surplus.mayBelongToBody() ? AttemptOutcome.ERROR : ResponseClassifier.classify(head);
         UpstreamResponse success = outcome == AttemptOutcome.SUCCESS
                 ? new UpstreamResponse(response.takeBody(), headers.get(HttpHeaderNames.CONTENT_TYPE))
                 : null;
@@ -274,7 +302,7 @@
     private boolean allowsReuse(Exchange completed) {
         return completed.attempt().requestWritten()
                 && response.allowsReuse()
-                && !completed.surplusReceived()
+                && !surplus.received()
                 && !decoder.hasPartialResponse();
     }
 
--- a/src/main/java/loadbalancer/upstream/EndpointResponseDecoder.java
+++ b/src/main/java/loadbalancer/upstream/EndpointResponseDecoder.java
@@ -11,16 +11,26 @@
 
 /** A response decoder that rejects what Netty's would accept and another reader would understand differently. */
 final class EndpointResponseDecoder extends HttpResponseDecoder {
+    private final SurplusBytes surplus;
     private final FramingMeter framing = new FramingMeter();
     private boolean responseBegun;
 
-    /** A decoder for one connection, which reports the fields of heads and trailers before it keeps them. */
-    EndpointResponseDecoder(LimitedHeadersFactory.FieldListener fields) {
+    /**
+     * A decoder for one connection.
+     *
+     * @param fields is notified of the fields of heads and trailers before they are kept
+     * @param surplus is notified of bytes before they are decoded
+     */
+    EndpointResponseDecoder(LimitedHeadersFactory.FieldListener fields, SurplusBytes surplus) {
         super(LimitedHeadersFactory.decoderConfig(fields));
+        this.surplus = surplus;
     }
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf input, List<Object> output) throws Exception {
+        if (input.isReadable()) {
+            surplus.bytesReceived(input.getByte(input.readerIndex()));
+        }
         if (framing.exceeded()) {
             // The message is invalid already; what follows costs no work.
             input.skipBytes(input.readableBytes());
--- a/src/main/java/loadbalancer/upstream/Exchange.java
+++ b/src/main/java/loadbalancer/upstream/Exchange.java
@@ -7,7 +7,6 @@
     private double lastReadMillis;
     private boolean bytesReceived;
     private boolean responseComplete;
-    private boolean surplusReceived;
 
     /**
      * An exchange for which nothing has been written.
@@ -52,14 +51,4 @@
     boolean responseComplete() {
         return responseComplete;
     }
-
-    /** Records that more came behind the complete response. */
-    void markSurplusReceived() {
-        surplusReceived = true;
-    }
-
-    /** True if anything came behind the complete response, so that the connection can't be used again. */
-    boolean surplusReceived() {
-        return surplusReceived;
-    }
 }
