Refuse a request whose body is cut off by a line end or spaces

What callers could see: a request that stated too short a length, by line ends or spaces alone, was forwarded with its body cut off and answered 200.

Cause: ClientRequestDecoder.hasMoreThanOneRequest asked for bytes left over and for a second head. The decoder skips control characters and white space ahead of a head, so that such a rest is neither. Found by reading, shown by the test.

Change: any byte behind a body, in the pass that ends it, makes the request invalid (400). A request without a body may still be followed by a blank line. RFC 9112, 2.2: a client must not follow a request with an extra line end.

Tests: two rows of MalformedRequestTest were answered 200 before; servesRequestWithoutBodyFollowedByBlankLine passed before too.

--- a/src/main/java/loadbalancer/downstream/ClientRequestDecoder.java
+++ b/src/main/java/loadbalancer/downstream/ClientRequestDecoder.java
@@ -4,6 +4,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.util.List;
 import loadbalancer.protocol.FramingMeter;
 import loadbalancer.protocol.LimitedHeadersFactory;
@@ -16,6 +18,10 @@
     private final LimitedHeadersFactory.FieldListener head;
     private final FramingMeter framing = new FramingMeter();
     private int startedHeads;
+    private boolean bodyExpected;
+    private boolean bodyEnded;
+    /** True once any byte has come behind a body, also one that the decoder skips as a blank line. */
+    private boolean bytesBehindBody;
 
     /** A decoder for one connection, which reports the parts of a head to this listener before it keeps them. */
     ClientRequestDecoder(LimitedHeadersFactory.FieldListener head) {
@@ -30,10 +36,21 @@
             input.skipBytes(input.readableBytes());
             return;
         }
+        bytesBehindBody |= bodyEnded && input.isReadable();
         int readableBefore = input.readableBytes();
         int decodedBefore = output.size();
         super.decode(ctx, input, output);
         framing.decoded(readableBefore - input.readableBytes(), output, decodedBefore);
+        for (int i = decodedBefore; i < output.size(); i++) {
+            notePart(output.get(i));
+        }
+    }
+
+    private void notePart(Object part) {
+        if (part instanceof HttpMessage message) {
+            bodyExpected = HttpUtil.isContentLengthSet(message) || HttpUtil.isTransferEncodingChunked(message);
+        }
+        bodyEnded |= bodyExpected && part instanceof LastHttpContent;
     }
 
     /** Netty would ignore the length and read the chunks; a reader that does otherwise allows request smuggling. */
@@ -49,9 +66,12 @@
         return super.createMessage(initialLine);
     }
 
-    /** True if more than one request has been received: a second head has begun, or there are bytes left over. */
+    /**
+     * True if more than one request has been received: a second head has begun, or there are bytes left over. Behind a
+     * body any byte may be the rest of it, whose stated length is then too short.
+     */
     boolean hasMoreThanOneRequest() {
-        return startedHeads > 1 || actualReadableBytes() > 0;
+        return startedHeads > 1 || bytesBehindBody || actualReadableBytes() > 0;
     }
 
     /** True if the request has far more framing than content. */
@@ -67,6 +87,9 @@
     /** Prepares for the next request, once the present one has been answered. */
     void requestAnswered() {
         startedHeads = 0;
+        bodyExpected = false;
+        bodyEnded = false;
+        bytesBehindBody = false;
         framing.reset();
     }
 }
--- a/src/test/java/loadbalancer/downstream/MalformedRequestTest.java
+++ b/src/test/java/loadbalancer/downstream/MalformedRequestTest.java
@@ -42,6 +42,9 @@
                 "POST /api HTTP/1.1~Request-Id: 1~Request-Class: other~Content-Length: 500~~abc | 400",
                 "GET /api HTTP/1.1~Request-Id: 1~Request-Class: status~~GET /api HTTP/1.1~Request-Id: 2~ | 400",
                 "POST /api HTTP/1.1~Request-Id: 1~Request-Class: submit~Content-Length: 1~~more | 400",
+                // A body whose stated length is too short by a line end must not be forwarded cut off.
+                "POST /api HTTP/1.1~Request-Id: 1~Request-Class: submit~Content-Length: 4~~more~ | 400",
+                "POST /api HTTP/1.1~Request-Id: 1~Request-Class: submit~Transfer-Encoding: chunked~~0~~~ | 400",
                 "POST /api HTTP/1.1~Request-Id: 1~Request-Class: pay~Content-Length: 0~~ | 400",
                 "GET /api HTTP/1.1~Request-Id: 1~Request-Class: submit~~ | 405",
                 "POST /api HTTP/1.1~Request-Id: 1~Request-Class: status~Content-Length: 0~~ | 405",
@@ -68,6 +71,14 @@
         }
     }
 
+    @Test
+    void servesRequestWithoutBodyFollowedByBlankLine() throws Exception {
+        try (SidecarFixture fixture = SidecarFixture.start();
+                TestClient client = fixture.client()) {
+            assertEquals(200, client.exchange(TestClient.status("5") + "\r\n").status());
+        }
+    }
+
     @Test
     void answersReadinessCheck() throws Exception {
         try (TestSidecar sidecar = new TestSidecar(FakeServer.refusing());
