Share out what a turn reads by deficit round robin, and count unread time

Change: ReadAllowance gives each connection the same share of a turn, whatever its place in it, and takes what it uses up beyond off its next shares; cost is bytes and decoded parts. ReadBacklog knows since when bytes may wait unread: a request's time counts from then, and one whose time ends meanwhile is refused at once, nothing of it having been forwarded. What a rejected client has sent is no longer decoded, and one pass finds the connection to evict. This works since no client can push another one's bytes back any more, and a request that does wait is no longer taken for one that is sent slowly.

--- a/src/main/java/loadbalancer/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/ClientConnection.java
@@ -41,6 +41,8 @@
     private static final long LINGER_MILLIS = 300;
 
     private final ServerContext server;
+    private final Clock clock;
+    private final ReadBacklog backlog = new ReadBacklog();
     private final ConnectionStateMachine machine;
     private final IncomingRequest request;
     private final ClientRequestDecoder decoder;
@@ -48,14 +50,15 @@
     private final MemoryHolding responseMemory;
     private Channel channel;
     private PendingRequest pending;
-    /** How often all that a turn allows has been read. */
-    private long passes;
+    /** When the last byte of the request may have come at the earliest. */
+    private double arrivedMillis;
     /** True once the connection has been ended for what its client sent, or did not send in time. */
     private boolean requestInvalid;
 
     /** A connection of this server, not yet in a pipeline. */
     ClientConnection(ServerContext server, Clock clock) {
         this.server = server;
+        this.clock = clock;
         this.machine = new ConnectionStateMachine(clock);
         this.request = new IncomingRequest(server.memory());
         this.decoder = new ClientRequestDecoder(request);
@@ -123,6 +126,23 @@
         reject(HttpResponseStatus.REQUEST_TIMEOUT);
     }
 
+    /**
+     * True if the rest of a request has waited unread for as long as its client waits: it may have been sent in time, and
+     * is owed its answer by now.
+     */
+    boolean waitedUnreadTooLong() {
+        double nowMillis = clock.now();
+        return state() == ConnectionState.READING_REQUEST
+                && request.clientRequest() != null
+                && nowMillis - backlog.earliestArrivalMillis(nowMillis)
+                        >= request.clientRequest().timeoutMillis();
+    }
+
+    /** Refuses a request that could not be read in time; nothing of it was forwarded. */
+    void refuseUnread() {
+        reject(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         channel = ctx.channel();
@@ -148,6 +168,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+        server.readAllowance().recordPart();
         if (!isReading()) {
             return;
         }
@@ -188,6 +209,7 @@
         if (message instanceof HttpContent part) {
             request.append(part.content());
             if (part instanceof LastHttpContent) {
+                arrivedMillis = backlog.earliestArrivalMillis(clock.now());
                 machine.enter(ConnectionState.REQUEST_COMPLETE);
             }
         }
@@ -202,7 +224,7 @@
     // short may have left the end unread, which the next one finds, right after the next select.
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        passes++;
+        backlog.passEnded(clock.now(), drained());
         if (isReading() && decoder.framingExceeded()) {
             reject(HttpResponseStatus.BAD_REQUEST);
         }
@@ -212,14 +234,14 @@
         if (readEverything()) {
             ctx.executor().execute(this::handleRequest);
         } else {
-            long cutPass = passes;
+            long cutPass = backlog.passes();
             SelectBarrier.runAfterSelect(channel.eventLoop(), () -> handleAfterCutPass(cutPass));
         }
     }
 
     // A pass since then has brought more, and has seen to the request itself.
     private void handleAfterCutPass(long cutPass) {
-        if (passes == cutPass) {
+        if (backlog.passes() == cutPass) {
             handleRequest();
         }
     }
@@ -228,6 +250,12 @@
         return channel.unsafe().recvBufAllocHandle().lastBytesRead() <= 0;
     }
 
+    // What comes from now on was not there when the last read found less than it asked for.
+    private boolean drained() {
+        var reads = channel.unsafe().recvBufAllocHandle();
+        return readEverything() || reads.lastBytesRead() < reads.attemptedBytesRead();
+    }
+
     private void handleRequest() {
         if (state() != ConnectionState.REQUEST_COMPLETE || !channel.isActive()) {
             return;
@@ -257,12 +285,14 @@
             return;
         }
         machine.enter(ConnectionState.AWAITING_RESPONSE);
-        // A request that is complete only now would not be failed any more before the process is killed.
-        if (server.isPastShutdownDeadline()) {
+        double waitedMillis = clock.now() - arrivedMillis;
+        // A request that is complete only now would not be failed any more before the process is killed. One that has
+        // waited unread for the whole of its time is owed its answer by now.
+        if (server.isPastShutdownDeadline() || waitedMillis >= clientRequest.timeoutMillis()) {
             rejected(0);
             return;
         }
-        PendingRequest admitted = server.dispatcher().admit(clientRequest, request.takeBody(), this);
+        PendingRequest admitted = server.dispatcher().admit(clientRequest, request.takeBody(), waitedMillis, this);
         // The response may have been written already.
         if (state() == ConnectionState.AWAITING_RESPONSE) {
             pending = admitted;
@@ -338,6 +368,7 @@
     // unread until it has had time to read the response, which a reset of the connection would take away.
     private void stopReading() {
         machine.enter(ConnectionState.CLOSING);
+        decoder.discardRest();
         channel.config().setAutoRead(false);
     }
 
--- a/src/main/java/loadbalancer/downstream/ClientListener.java
+++ b/src/main/java/loadbalancer/downstream/ClientListener.java
@@ -56,7 +56,7 @@
                         new ClientConnection(server, clock).addTo(accepted.pipeline());
                     }
                 })
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new FairReadAllocator(loop))
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, new FairReadAllocator(loop, server.readAllowance()))
                 // Accepts until none waits: a connection that waits when the listener closes is reset.
                 .option(
                         ChannelOption.RECVBUF_ALLOCATOR,
--- a/src/main/java/loadbalancer/downstream/ClientRequestDecoder.java
+++ b/src/main/java/loadbalancer/downstream/ClientRequestDecoder.java
@@ -18,6 +18,7 @@
     private final LimitedHeadersFactory.FieldListener head;
     private final FramingMeter framing = new FramingMeter();
     private int startedHeads;
+    private boolean discarding;
     private boolean bodyExpected;
     private boolean bodyEnded;
     /** True once any byte has come behind a body, also one that the decoder skips as a blank line. */
@@ -31,7 +32,7 @@
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf input, List<Object> output) throws Exception {
-        if (framing.exceeded()) {
+        if (discarding || framing.exceeded()) {
             // The message is invalid already; what follows costs no work.
             input.skipBytes(input.readableBytes());
             return;
@@ -74,6 +75,11 @@
         return startedHeads > 1 || bytesBehindBody || actualReadableBytes() > 0;
     }
 
+    /** From now on nothing is decoded any more: the connection takes no further request. */
+    void discardRest() {
+        discarding = true;
+    }
+
     /** True if the request has far more framing than content. */
     boolean framingExceeded() {
         return framing.exceeded();
--- a/src/main/java/loadbalancer/downstream/ClientServer.java
+++ b/src/main/java/loadbalancer/downstream/ClientServer.java
@@ -15,6 +15,7 @@
     private static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 200;
 
     private final MemoryBudget memory;
+    private final ReadAllowance readAllowance = new ReadAllowance();
     private final RequestDispatcher dispatcher;
     private final RequestValidator validator;
     private final ConnectionTable connections;
@@ -106,6 +107,11 @@
             return memory;
         }
 
+        @Override
+        public ReadAllowance readAllowance() {
+            return readAllowance;
+        }
+
         @Override
         public void memoryRefused() {
             connections.evictSlowest();
--- a/src/main/java/loadbalancer/downstream/ConnectionTable.java
+++ b/src/main/java/loadbalancer/downstream/ConnectionTable.java
@@ -1,7 +1,9 @@
 package loadbalancer.downstream;
 
+import java.util.EnumMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import loadbalancer.eventloop.Clock;
 
@@ -88,7 +90,9 @@
             case NEW -> closeIf(connection, ageMillis > MAX_RECEIVE_MILLIS);
             case IDLE -> closeIf(connection, ageMillis > MAX_IDLE_MILLIS);
             case READING_REQUEST -> {
-                if (ageMillis > MAX_RECEIVE_MILLIS) {
+                if (connection.waitedUnreadTooLong()) {
+                    connection.refuseUnread();
+                } else if (ageMillis > MAX_RECEIVE_MILLIS) {
                     connection.requestTimedOut();
                 }
             }
@@ -102,10 +106,11 @@
     // longest ago, else the longest silent, else the slowest to send.
     private void evictFor(ClientConnection newest) {
         double nowMillis = clock.now();
-        ClientConnection idle = oldest(ConnectionState.IDLE);
-        ClientConnection lingering = oldest(ConnectionState.LINGERING);
-        ClientConnection silent = oldest(ConnectionState.NEW);
-        ClientConnection slow = oldest(ConnectionState.READING_REQUEST);
+        Map<ConnectionState, ClientConnection> oldest = oldestOfEachState();
+        ClientConnection idle = oldest.get(ConnectionState.IDLE);
+        ClientConnection lingering = oldest.get(ConnectionState.LINGERING);
+        ClientConnection silent = oldest.get(ConnectionState.NEW);
+        ClientConnection slow = oldest.get(ConnectionState.READING_REQUEST);
         if (idle != null && nowMillis - idle.sinceMillis() > MIN_IDLE_MILLIS) {
             idle.close();
         } else if (lingering != null) {
@@ -117,6 +122,19 @@
         }
     }
 
+    // In one pass: under a flood of connections this runs for each one that is accepted.
+    private Map<ConnectionState, ClientConnection> oldestOfEachState() {
+        Map<ConnectionState, ClientConnection> oldest = new EnumMap<>(ConnectionState.class);
+        for (ClientConnection connection : connections) {
+            oldest.merge(connection.state(), connection, ConnectionTable::older);
+        }
+        return oldest;
+    }
+
+    private static ClientConnection older(ClientConnection first, ClientConnection second) {
+        return second.sinceMillis() < first.sinceMillis() ? second : first;
+    }
+
     /** Ends the request that has been coming for the longest with an error, if good ones take less time. */
     void evictSlowest() {
         ClientConnection slow = oldest(ConnectionState.READING_REQUEST);
--- a/src/main/java/loadbalancer/downstream/FairReadAllocator.java
+++ b/src/main/java/loadbalancer/downstream/FairReadAllocator.java
@@ -3,13 +3,14 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
+import io.netty.channel.ChannelConfig;
 import io.netty.channel.RecvByteBufAllocator;
 import java.util.concurrent.Executor;
 
 /**
  * Bounds what the connections of one event loop read in a turn, one by one and all together, so that a turn takes a
- * bounded time however much clients send. Once a turn's allowance is used up, each connection still reads a little:
- * clients that send small requests are served while others send as fast as they can.
+ * bounded time however much clients send. Connections that have used up their share of {@link ReadAllowance} still
+ * read a little in each turn.
  */
 final class FairReadAllocator implements RecvByteBufAllocator {
     private static final int MIN_READ_BYTES = 64;
@@ -18,28 +19,30 @@
     private static final int MAX_READ_BYTES = 8192;
     /** Reads of one connection in a turn: with the size of a read, more than the largest request. */
     private static final int MAX_READS_PER_TURN = 16;
-    /** Read in a turn by all connections, before each is restricted to one small read. */
-    private static final int MAX_BYTES_PER_TURN = 16 * 1024;
-    /** The largest part of a request that is read in a turn whose allowance is used up. */
-    private static final int RESTRICTED_READ_BYTES = 128;
+    /** The largest part of a request that is read beyond the share of its connection. */
+    private static final int RESTRICTED_READ_BYTES = 32;
+    /** Where a connection's debt ends, so that one which sends less again is not restricted for long. */
+    private static final int MIN_CREDIT = -1024 * 1024;
 
     private final Executor loop;
+    private final ReadAllowance allowance;
     private final RecvByteBufAllocator sizes = new AdaptiveRecvByteBufAllocator(
                     MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
             // Reads until nothing is left: otherwise the end of a connection would be found a turn later than
             // the request before it, which would be forwarded for a client that has left.
             .respectMaybeMoreData(false)
             .maxMessagesPerRead(MAX_READS_PER_TURN);
-    private int bytesThisTurn;
-    private boolean resetScheduled;
+    private boolean turnEndScheduled;
 
     /**
      * An allocator for all connections of one loop.
      *
      * @param loop runs a task once the sockets of the present turn have been handled
+     * @param allowance of all connections, which is told what is decoded from the bytes of a read
      */
-    FairReadAllocator(Executor loop) {
+    FairReadAllocator(Executor loop, ReadAllowance allowance) {
         this.loop = loop;
+        this.allowance = allowance;
     }
 
     @Override
@@ -48,45 +51,66 @@
         return new FairHandle(sizes.newHandle());
     }
 
-    private void recordRead(int bytes) {
-        bytesThisTurn += bytes;
-        if (!resetScheduled) {
-            resetScheduled = true;
+    private void scheduleTurnEnd() {
+        if (!turnEndScheduled) {
+            turnEndScheduled = true;
             loop.execute(this::beginTurn);
         }
     }
 
     private void beginTurn() {
-        bytesThisTurn = 0;
-        resetScheduled = false;
-    }
-
-    private boolean restricted() {
-        return bytesThisTurn >= MAX_BYTES_PER_TURN;
+        turnEndScheduled = false;
+        allowance.beginTurn();
     }
 
     /** The reads of one connection. */
     private final class FairHandle extends RecvByteBufAllocator.DelegatingHandle {
+        /** What is left of the connection's shares; negative if it has used up more. */
+        private int credit;
+        /** The last turn whose share it has got. */
+        private long creditedTurn = -1;
+        /** What all connections had used up in the turn before the present read. */
+        private int costBeforeRead;
+
         @SuppressWarnings("deprecation")
         private FairHandle(Handle delegate) {
             super(delegate);
         }
 
+        @Override
+        public void reset(ChannelConfig config) {
+            super.reset(config);
+            if (creditedTurn < allowance.turn()) {
+                long turns = allowance.turn() - creditedTurn;
+                int share = allowance.share();
+                credit = (int) Math.min(share, credit + turns * share);
+                creditedTurn = allowance.turn();
+                scheduleTurnEnd();
+            }
+        }
+
+        private boolean restricted() {
+            return credit <= 0 || allowance.usedUp();
+        }
+
         @Override
         public ByteBuf allocate(ByteBufAllocator allocator) {
-            return restricted() ? allocator.ioBuffer(RESTRICTED_READ_BYTES) : super.allocate(allocator);
+            int bytes = restricted() ? RESTRICTED_READ_BYTES : Math.max(RESTRICTED_READ_BYTES, credit);
+            return allocator.ioBuffer(Math.min(guess(), bytes));
         }
 
         @Override
         public void lastBytesRead(int bytes) {
             super.lastBytesRead(bytes);
-            if (bytes > 0) {
-                recordRead(bytes);
-            }
+            costBeforeRead = allowance.costThisTurn();
+            allowance.recordBytes(Math.max(0, bytes));
         }
 
+        // Called once what was read has been decoded.
         @Override
         public boolean continueReading() {
+            credit = Math.max(MIN_CREDIT, credit - (allowance.costThisTurn() - costBeforeRead));
+            costBeforeRead = allowance.costThisTurn();
             return !restricted() && super.continueReading();
         }
     }
--- a/src/main/java/loadbalancer/downstream/ServerContext.java
+++ b/src/main/java/loadbalancer/downstream/ServerContext.java
@@ -20,6 +20,9 @@
     /** The memory that all connections draw from. */
     MemoryBudget memory();
 
+    /** What the connections may read in a turn of the loop. */
+    ReadAllowance readAllowance();
+
     /** Reports a request that was refused for want of memory. */
     void memoryRefused();
 
--- a/src/main/java/loadbalancer/proxy/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/RequestDispatcher.java
@@ -177,15 +177,18 @@
     /**
      * Admits a request, whose id is not in use.
      *
+     * @param waitedMillis how long it may have waited unread, which is taken off its timeout; less than that
      * @param client receives the one final response, possibly before this method returns
      */
-    public PendingRequest admit(ClientRequest incoming, RequestBody body, ResponseListener client) {
-        double marginMillis = lateness.safetyMargin(incoming.timeoutMillis());
+    public PendingRequest admit(
+            ClientRequest incoming, RequestBody body, double waitedMillis, ResponseListener client) {
+        double remainingMillis = incoming.timeoutMillis() - waitedMillis;
+        double marginMillis = lateness.safetyMargin(remainingMillis);
         PolicyRequest policyRequest = new PolicyRequest(
                 nextRequestNumber++,
                 incoming.classIndex(),
                 incoming.tenantIndex(),
-                incoming.timeoutMillis() - marginMillis,
+                remainingMillis - marginMillis,
                 incoming.clientRetry());
         PendingRequest pending =
                 new PendingRequest(context, policyRequest, incoming, body, client, marginMillis * POLICY_GRACE_SHARE);
--- a/src/test/java/loadbalancer/downstream/ConnectionTableTest.java
+++ b/src/test/java/loadbalancer/downstream/ConnectionTableTest.java
@@ -189,6 +189,11 @@
 
     /** A server that is ready and serves no requests of the application. */
     private final class ReadyServer implements ServerContext {
+        @Override
+        public ReadAllowance readAllowance() {
+            return new ReadAllowance();
+        }
+
         @Override
         public boolean isReady() {
             return true;
--- a/src/test/java/loadbalancer/faultsearch/VirtualSidecar.java
+++ b/src/test/java/loadbalancer/faultsearch/VirtualSidecar.java
@@ -105,6 +105,7 @@
                                 "/api",
                                 new DefaultHttpHeaders()),
                         new RequestBody(new byte[0], memory.newHolding(MemoryUse.PENDING_REQUESTS)),
+                        0,
                         IGNORED_RESPONSE);
             }
         });
