Ask in one place what the last read of a pass tells

ClientConnection and EndpointConnection each asked Netty's handle whether a pass had left bytes unread. LastRead says it for both; no behaviour changed.

--- a/src/main/java/loadbalancer/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/ClientConnection.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import loadbalancer.eventloop.Clock;
 import loadbalancer.eventloop.FailFastEventLoop;
+import loadbalancer.eventloop.LastRead;
 import loadbalancer.eventloop.SelectBarrier;
 import loadbalancer.memory.MemoryHolding;
 import loadbalancer.memory.MemoryLimitException;
@@ -224,14 +225,14 @@
     // short may have left the end unread, which the next one finds, right after the next select.
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        backlog.passEnded(clock.now(), drained());
+        backlog.passEnded(clock.now(), LastRead.drained(channel));
         if (isReading() && decoder.framingExceeded()) {
             reject(HttpResponseStatus.BAD_REQUEST);
         }
         if (state() != ConnectionState.REQUEST_COMPLETE) {
             return;
         }
-        if (readEverything()) {
+        if (LastRead.foundNothing(channel)) {
             ctx.executor().execute(this::handleRequest);
         } else {
             long cutPass = backlog.passes();
@@ -246,16 +247,6 @@
         }
     }
 
-    private boolean readEverything() {
-        return channel.unsafe().recvBufAllocHandle().lastBytesRead() <= 0;
-    }
-
-    // What comes from now on was not there when the last read found less than it asked for.
-    private boolean drained() {
-        var reads = channel.unsafe().recvBufAllocHandle();
-        return readEverything() || reads.lastBytesRead() < reads.attemptedBytesRead();
-    }
-
     private void handleRequest() {
         if (state() != ConnectionState.REQUEST_COMPLETE || !channel.isActive()) {
             return;
--- a/src/main/java/loadbalancer/upstream/EndpointConnection.java
+++ b/src/main/java/loadbalancer/upstream/EndpointConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import loadbalancer.eventloop.Clock;
 import loadbalancer.eventloop.FailFastEventLoop;
+import loadbalancer.eventloop.LastRead;
 import loadbalancer.eventloop.SelectBarrier;
 import loadbalancer.memory.MemoryBudget;
 import loadbalancer.memory.MemoryHolding;
@@ -251,7 +252,7 @@
     // What follows a response is known only once all bytes that have come are read. A pass that was cut short may have
     // left some unread, which the next one finds, right after the next select.
     private void responseComplete() {
-        if (readEverything()) {
+        if (LastRead.drained(channel)) {
             completeExchange();
             return;
         }
@@ -263,11 +264,6 @@
         });
     }
 
-    private boolean readEverything() {
-        var reads = channel.unsafe().recvBufAllocHandle();
-        return reads.lastBytesRead() <= 0 || reads.lastBytesRead() < reads.attemptedBytesRead();
-    }
-
     @Override
     public void responseStalled() {
         closeFailed();
