Count no time as waited unread once the socket was not readable any more

Change: a pass that was cut short is followed by a fresh select also while a request is still being read; without another pass by then nothing was left.

--- a/src/main/java/loadbalancer/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/ClientConnection.java
@@ -222,27 +222,28 @@
 
     // Whether more follows the request is known only once all bytes of this pass have been decoded. The end of the
     // connection is found after this: a request of a client that has left by then is not forwarded. A pass that was cut
-    // short may have left the end unread, which the next one finds, right after the next select.
+    // short may have left the end unread, or more of the request, which the next one finds, right after the next
+    // select.
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        backlog.passEnded(clock.now(), LastRead.drained(channel));
+        boolean drained = LastRead.drained(channel);
+        backlog.passEnded(clock.now(), drained);
         if (isReading() && decoder.framingExceeded()) {
             reject(HttpResponseStatus.BAD_REQUEST);
         }
-        if (state() != ConnectionState.REQUEST_COMPLETE) {
-            return;
-        }
-        if (LastRead.foundNothing(channel)) {
+        boolean complete = state() == ConnectionState.REQUEST_COMPLETE;
+        if (complete && LastRead.foundNothing(channel)) {
             ctx.executor().execute(this::handleRequest);
-        } else {
+        } else if (complete || isReading() && !drained) {
             long cutPass = backlog.passes();
             SelectBarrier.runAfterSelect(channel.eventLoop(), () -> handleAfterCutPass(cutPass));
         }
     }
 
-    // A pass since then has brought more, and has seen to the request itself.
+    // A pass since then has brought more, and has seen to the request itself. Without one, nothing was left unread.
     private void handleAfterCutPass(long cutPass) {
         if (backlog.passes() == cutPass) {
+            backlog.nothingLeft();
             handleRequest();
         }
     }
--- a/src/main/java/loadbalancer/downstream/ReadBacklog.java
+++ b/src/main/java/loadbalancer/downstream/ReadBacklog.java
@@ -17,12 +17,17 @@
     void passEnded(double nowMillis, boolean drained) {
         passes++;
         if (drained) {
-            sinceMillis = Double.NaN;
+            nothingLeft();
         } else if (Double.isNaN(sinceMillis)) {
             sinceMillis = nowMillis;
         }
     }
 
+    /** The socket was not found readable any more: the last pass had read all that had come. */
+    void nothingLeft() {
+        sinceMillis = Double.NaN;
+    }
+
     /** How often the socket has been read, in passes of several reads. */
     long passes() {
         return passes;
