Leave room for small requests beside clients that stop in long lines

Cause: a buffer of an incomplete line has 8 KiB at most and so counted as a small holding, which may use the whole budget.

Change: for buffers of clients' lines small means 2 KiB; larger ones take part in the first 0.6 of the budget, as large heads and bodies do. Buffers of endpoints' lines count as their responses, with the bounds that they had.

Tests: MemoryBudgetTest.lineBuffersLeaveRoomForSmallRequests fails without it. MemoryBudgetTest names the size of a small holding by its use now.

--- a/src/main/java/loadbalancer/memory/MemoryBudget.java
+++ b/src/main/java/loadbalancer/memory/MemoryBudget.java
@@ -5,8 +5,6 @@
  * has been taken already: a client with a small request is served while others hold what they can.
  */
 public final class MemoryBudget {
-    /** A holding up to this size may use the whole budget. */
-    static final int SMALL_HOLDING_BYTES = 8 * 1024;
     /** Of the memory there is; the rest is for what lives shortly, and for the collector to work with. */
     private static final double USABLE_FRACTION = 0.75;
     /** The program itself, and the endpoint lists in force. */
@@ -50,7 +48,7 @@
 
     /** Takes bytes for a holding that then has this size; returns false, and counts it, if there are too few. */
     boolean tryTake(MemoryUse use, long bytes, long sizeAfterwards) {
-        double maxBytes = sizeAfterwards <= SMALL_HOLDING_BYTES ? capacityBytes : capacityBytes * use.maxFraction();
+        double maxBytes = sizeAfterwards <= use.smallHoldingBytes() ? capacityBytes : capacityBytes * use.maxFraction();
         if (totalBytes + bytes > maxBytes) {
             refusals[use.ordinal()]++;
             return false;
--- a/src/main/java/loadbalancer/memory/MemoryUse.java
+++ b/src/main/java/loadbalancer/memory/MemoryUse.java
@@ -12,8 +12,8 @@
     ENDPOINT_RESPONSES("endpoint responses", MemoryUse.RESPONSE_FRACTION),
     /** Responses that are being written to clients. */
     CLIENT_RESPONSES("client responses", 1),
-    /** Buffers of lines that are not complete; they lie outside of the heap, whose part is no larger than theirs. */
-    LINE_BUFFERS("line buffers", 1),
+    /** Buffers of lines of clients that are not complete; they lie outside of the heap, whose part is no larger than theirs. */
+    LINE_BUFFERS("line buffers", MemoryUse.LARGE_REQUEST_FRACTION, MemoryUse.SMALL_LINE_BUFFER_BYTES),
     /** Identifiers of requests that must not run twice. */
     REQUEST_IDS("request ids", 1),
     /** Lists that discovery is sending. */
@@ -23,13 +23,28 @@
     private static final double LARGE_REQUEST_FRACTION = 0.6;
 
     private static final double RESPONSE_FRACTION = 0.9;
+    /** A holding up to this size is that of a client with a small request, and may use the whole budget. */
+    private static final int SMALL_HOLDING_BYTES = 8 * 1024;
+    /** A usual line is far shorter; hundreds of clients that stop in a long one must leave room for small requests. */
+    private static final int SMALL_LINE_BUFFER_BYTES = 2 * 1024;
 
     private final String label;
     private final double maxFraction;
+    private final int smallHoldingBytes;
 
     MemoryUse(String label, double maxFraction) {
+        this(label, maxFraction, MemoryUse.SMALL_HOLDING_BYTES);
+    }
+
+    MemoryUse(String label, double maxFraction, int smallHoldingBytes) {
         this.label = label;
         this.maxFraction = maxFraction;
+        this.smallHoldingBytes = smallHoldingBytes;
+    }
+
+    /** Returns up to which size, in bytes, a holding of this use may use the whole budget. */
+    int smallHoldingBytes() {
+        return smallHoldingBytes;
     }
 
     /** Returns its name in log lines. */
--- a/src/main/java/loadbalancer/upstream/EndpointConnection.java
+++ b/src/main/java/loadbalancer/upstream/EndpointConnection.java
@@ -64,7 +64,7 @@
         this.clock = clock;
         this.endpoint = endpoint;
         this.headMemory = memory.newHolding(MemoryUse.ENDPOINT_RESPONSES);
-        this.bufferMemory = memory.newHolding(MemoryUse.LINE_BUFFERS);
+        this.bufferMemory = memory.newHolding(MemoryUse.ENDPOINT_RESPONSES);
         this.response = new ResponseAssembler(new BodyBuffer(memory.newHolding(MemoryUse.ENDPOINT_RESPONSES)));
         this.stallDetector = new StallDetector(loop, clock, this);
     }
--- a/src/test/java/loadbalancer/memory/MemoryBudgetTest.java
+++ b/src/test/java/loadbalancer/memory/MemoryBudgetTest.java
@@ -24,7 +24,7 @@
             assertTrue(budget.heldBytes() <= CAPACITY * 6 / 10);
         }
         assertEquals(1, budget.refusals(MemoryUse.REQUEST_BODIES));
-        assertTrue(budget.newHolding(MemoryUse.REQUEST_HEADS).tryGrow(MemoryBudget.SMALL_HOLDING_BYTES));
+        assertTrue(budget.newHolding(MemoryUse.REQUEST_HEADS).tryGrow(MemoryUse.REQUEST_HEADS.smallHoldingBytes()));
         assertTrue(budget.newHolding(MemoryUse.ENDPOINT_RESPONSES).tryGrow(LARGE));
     }
 
@@ -43,7 +43,7 @@
     void countsHoldingThatGrowsBeyondSmallAsLarge() {
         budget.newHolding(MemoryUse.PENDING_REQUESTS).resize(CAPACITY * 7 / 10);
         MemoryHolding head = budget.newHolding(MemoryUse.REQUEST_HEADS);
-        assertTrue(head.tryGrow(MemoryBudget.SMALL_HOLDING_BYTES));
+        assertTrue(head.tryGrow(MemoryUse.REQUEST_HEADS.smallHoldingBytes()));
         assertFalse(head.tryGrow(1));
     }
 
@@ -86,4 +86,16 @@
         assertTrue(deployed.capacityBytes() < 32L << 20);
         assertTrue(deployed.capacityBytes() + programBytes + connections * 4096L <= heapBytes * 3 / 4);
     }
+
+    // Guards against long lines that do not end, of which each is small and all together leave no room for a request.
+    @Test
+    void lineBuffersLeaveRoomForSmallRequests() {
+        int buffered = 0;
+        while (budget.newHolding(MemoryUse.LINE_BUFFERS).tryResize(8 * 1024)) {
+            buffered++;
+        }
+        assertTrue(buffered > 0 && budget.heldBytes() <= 0.6 * CAPACITY, "held " + budget.heldBytes());
+        assertTrue(budget.newHolding(MemoryUse.LINE_BUFFERS).tryResize(2 * 1024));
+        assertTrue(budget.newHolding(MemoryUse.REQUEST_HEADS).tryGrow(1000));
+    }
 }
