--- a/src/main/java/loadbalancer/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/ClientConnection.java
@@ -128,8 +128,8 @@
     }
 
     /**
-     * True if the rest of a request has waited unread for as long as its client waits: it may have been sent in time, and
-     * is owed its answer by now.
+     * True if the rest of a request has waited unread for as long as its client waits: it may have been sent in time,
+     * and is owed its answer by now.
      */
     boolean waitedUnreadTooLong() {
         double nowMillis = clock.now();
--- a/src/main/java/loadbalancer/memory/MemoryUse.java
+++ b/src/main/java/loadbalancer/memory/MemoryUse.java
@@ -12,7 +12,7 @@
     ENDPOINT_RESPONSES("endpoint responses", MemoryUse.RESPONSE_FRACTION),
     /** Responses that are being written to clients. */
     CLIENT_RESPONSES("client responses", 1),
-    /** Buffers of lines of clients that are not complete; they lie outside of the heap, whose part is no larger than theirs. */
+    /** Buffers of clients' lines that are not complete; outside of the heap, whose part is no larger than theirs. */
     LINE_BUFFERS("line buffers", MemoryUse.LARGE_REQUEST_FRACTION, MemoryUse.SMALL_LINE_BUFFER_BYTES),
     /** Identifiers of requests that must not run twice. */
     REQUEST_IDS("request ids", 1),
--- a/src/main/java/loadbalancer/policy/ListCurrency.java
+++ b/src/main/java/loadbalancer/policy/ListCurrency.java
@@ -98,9 +98,9 @@
     }
 
     /**
-     * Returns the same for one of few sidecars. What a silent watch has missed comes due at once, whenever discovery came
-     * back into reach: a call that begins just then has it, and the next one is too late. The moment is known up to the
-     * time that it took to notice the silence, over which calls follow each other more closely.
+     * Returns the same for one of few sidecars. What a silent watch has missed comes due at once, whenever discovery
+     * came back into reach: a call that begins just then has it, and the next one is too late. The moment is known up
+     * to the time that it took to notice the silence, over which calls follow each other more closely.
      */
     double smallFleetCallIntervalMillis(double nowMillis) {
         double intervalMillis = callIntervalMillis(nowMillis);
--- a/src/main/java/loadbalancer/upstream/EndpointConnection.java
+++ b/src/main/java/loadbalancer/upstream/EndpointConnection.java
@@ -29,8 +29,8 @@
 
 /**
  * One connection to an endpoint. It writes one request at a time and reads its response; a response that is malformed,
- * stalls or is followed by surplus bytes ends the connection. One that is followed by anything but a duplicate of itself
- * fails its attempt: its body may be cut off.
+ * stalls or is followed by surplus bytes ends the connection. One that is followed by anything but a duplicate of
+ * itself fails its attempt: its body may be cut off.
  *
  * <p>Between two exchanges a connection is quarantined, then idle. Any byte that comes then closes it and suspends the
  * reuse of all connections.
--- a/src/main/java/loadbalancer/upstream/SurplusBytes.java
+++ b/src/main/java/loadbalancer/upstream/SurplusBytes.java
@@ -32,8 +32,8 @@
     }
 
     /**
-     * Sees undecoded bytes, of which the first is given. The decoder skips blank lines ahead of a head, so that only the
-     * bytes themselves tell whether a head follows at once.
+     * Sees undecoded bytes, of which the first is given. The decoder skips blank lines ahead of a head, so that only
+     * the bytes themselves tell whether a head follows at once.
      */
     void bytesReceived(byte first) {
         if (completed != null && !received) {
--- a/src/test/java/loadbalancer/policy/DiscoveryCallScheduleTest.java
+++ b/src/test/java/loadbalancer/policy/DiscoveryCallScheduleTest.java
@@ -49,6 +49,10 @@
         return schedule;
     }
 
+    private DiscoveryCallSchedule scheduleWithGrace(int sidecars, int graceMillis) {
+        return schedule(settings(sidecars, DEADLINE_MILLIS).drainGraceMillis(graceMillis), 1);
+    }
+
     private DiscoveryCallSchedule agentSchedule() {
         return schedule(settings(100, DEADLINE_MILLIS).drainGraceMillis(500).endpointListPushed(), 1);
     }
@@ -350,10 +354,10 @@
     @ParameterizedTest
     @CsvSource({"1, 300, 2250", "1, 500, 2750", "3, 500, 2500", "8, 500, 2250", "8, 1100, 2750"})
     void callBeginsWheneverWhatSilentWatchHasMissedComesDue(int sidecars, int graceMillis, int noticedAfterMillis) {
-        DiscoveryCallSchedule schedule =
-                schedule(settings(sidecars, DEADLINE_MILLIS).drainGraceMillis(graceMillis), 1);
+        DiscoveryCallSchedule schedule = scheduleWithGrace(sidecars, graceMillis);
         currency.answered(NOW);
-        List<Double> calls = unansweredCalls(schedule, NOW + noticedAfterMillis, NOW + 10_000);
+        schedule.silenceNoticed(NOW + noticedAfterMillis);
+        List<Double> calls = callsFrom(schedule, NOW + noticedAfterMillis, NOW + 10_000);
         // The silence may have begun at any time since the last line. A process may be held up for 150 ms of the grace.
         for (double silentMillis = NOW; silentMillis <= NOW + noticedAfterMillis; silentMillis += 10) {
             double dueMillis = silentMillis + 6000;
@@ -366,9 +370,10 @@
     // Guards against a drain that is ignored for over a grace period once discovery is back after a longer cut.
     @Test
     void callsBesideSilentWatchKeepFollowingWithinGraceOnceOverdue() {
-        DiscoveryCallSchedule schedule = schedule(settings(3, DEADLINE_MILLIS).drainGraceMillis(500), 1);
+        DiscoveryCallSchedule schedule = scheduleWithGrace(3, 500);
         currency.answered(NOW);
-        List<Double> calls = unansweredCalls(schedule, NOW + 2250, NOW + 30_000);
+        schedule.silenceNoticed(NOW + 2250);
+        List<Double> calls = callsFrom(schedule, NOW + 2250, NOW + 30_000);
         for (int i = 1; i < calls.size(); i++) {
             boolean overdue = calls.get(i - 1) >= NOW + 6000;
             assertTrue(!overdue || calls.get(i) - calls.get(i - 1) <= 500, "calls at " + calls);
@@ -377,19 +382,13 @@
 
     @Test
     void callBeginsWhenMoveComesDue() {
-        DiscoveryCallSchedule schedule = schedule(settings(3, DEADLINE_MILLIS).drainGraceMillis(500), 1);
+        DiscoveryCallSchedule schedule = scheduleWithGrace(3, 500);
         currency.answered(NOW);
         currency.moved(NOW);
         List<Double> calls = callsFrom(schedule, NOW + 20, NOW + 10_000);
         assertTrue(calls.stream().anyMatch(call -> call >= NOW + 4000 && call <= NOW + 4350), "calls at " + calls);
     }
 
-    private static List<Double> unansweredCalls(
-            DiscoveryCallSchedule schedule, double silenceNoticedMillis, double untilMillis) {
-        schedule.silenceNoticed(silenceNoticedMillis);
-        return callsFrom(schedule, silenceNoticedMillis, untilMillis);
-    }
-
     private static List<Double> callsFrom(DiscoveryCallSchedule schedule, double fromMillis, double untilMillis) {
         List<Double> calls = new ArrayList<>();
         for (double at = fromMillis; at < untilMillis; at = schedule.callBesideMillis()) {
