--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,5 +4,5 @@
 REPO_ROOT=$(cd "$CASE_FOLDER/../.." && pwd)
 export CASE_FOLDER REPO_ROOT
 cd "$REPO_ROOT" || exit 2
-[ -f target/review-2/PushedStart.class ] || exit 2
-exec java -Xmx256m -cp target/review-2 PushedStart
+[ -f target/review-2/FleetReplaced.class ] || exit 2
+exec java -Xmx512m -cp target/review-2 FleetReplaced
--- a/review/standins-2/FleetReplaced.java
+++ b/review/standins-2/FleetReplaced.java
@@ -24,8 +24,8 @@
     private static final int ENDPOINTS = 3200;
     private static final int REPLACED = 1920;
     private static final double DRAINS_MILLIS = 500;
-    private static final double JOINS_MILLIS = 4000;
-    private static final double GONE_MILLIS = 2500;
+    private static final double JOINS_MILLIS = 6000;
+    private static final double GONE_MILLIS = 500;
     private static final double TIMEOUT_SECONDS = 0.48;
     /** After its time an answer earns nothing; half a second later the request is lost, and 50 ms hold on sockets. */
     private static final double LOST_MILLIS = TIMEOUT_SECONDS * 1000 + 500 + 50;
@@ -84,7 +84,7 @@
         return Kit.entry(hosts.get(i), "127.0.0.1:" + ports.get(i), site, i / 4, health, bornMillis);
     }
 
-    /** One object for each change: drains, then new ones at the addresses of old ones that drain, then those are gone. */
+    /** One object for each change: old ones drain, then they are gone, then new ones join at their addresses. */
     private static void replace(Kit.Discovery discovery, List<String> hosts, List<Integer> ports) {
         Kit.note("endpoints begin to be replaced");
         double begin = Kit.now();
@@ -95,16 +95,16 @@
         }
         Kit.note(REPLACED + " endpoints were told to drain");
         double drained = begin + DRAINS_MILLIS;
+        for (int i = 0; i < REPLACED; i++) {
+            discovery.change(Map.of(hosts.get(i), entry(hosts, ports, i, "gone", 0)));
+            Kit.sleepUntil(drained + GONE_MILLIS * i / REPLACED);
+        }
+        double gone = drained + GONE_MILLIS;
         for (int i = 0; i < REPLACED; i++) {
             String old = entry(hosts, ports, i, "ready", System.currentTimeMillis());
             String host = hosts.get(i) + "b";
             discovery.change(Map.of(host, old.replace("\"" + hosts.get(i) + "\"", "\"" + host + "\"")));
-            Kit.sleepUntil(drained + JOINS_MILLIS * i / REPLACED);
-        }
-        double joined = drained + JOINS_MILLIS;
-        for (int i = 0; i < REPLACED; i++) {
-            discovery.change(Map.of(hosts.get(i), entry(hosts, ports, i, "gone", 0)));
-            Kit.sleepUntil(joined + GONE_MILLIS * i / REPLACED);
+            Kit.sleepUntil(gone + JOINS_MILLIS * i / REPLACED);
         }
         Kit.note(REPLACED + " endpoints were replaced in " + Math.round(Kit.now() - begin) + " ms");
     }
--- a/review/standins-2/Kit.java
+++ b/review/standins-2/Kit.java
@@ -10,8 +10,6 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketException;
-import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -25,12 +23,12 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.stream.Stream;
 
 /** Stand-ins for clients, endpoints, discovery and the platform, and the sidecar as a process of its own. */
 final class Kit {
     private static final long START_NANOS = System.nanoTime();
+    private static final double MAX_RUN_MILLIS = 110_000;
 
     private Kit() {}
 
@@ -96,10 +94,20 @@
     /** Runs a case: exit code 0 if the rule held, 1 if it was broken, 2 if the case could not run. */
     static void run(Case body) {
         int code = 2;
+        Runtime.getRuntime().addShutdownHook(new Thread(Sidecar::endAll));
+        background("time limit", () -> {
+            sleep(MAX_RUN_MILLIS);
+            System.err.println("the case takes too long");
+            Sidecar.endAll();
+            Runtime.getRuntime().halt(2);
+        });
         try {
             openRecord();
             note(calm() ? "run without the disruption" : "run with the disruption");
             String broken = body.run();
+            if (broken == null) {
+                Sidecar.requireAllAlive();
+            }
             code = broken == null ? 0 : 1;
             note(broken == null ? "the rule held" : "THE RULE WAS BROKEN: " + broken);
         } catch (Throwable e) {
@@ -128,6 +136,8 @@
         final Path folder;
         final Path configFile;
         Process process;
+        /** True once the platform has ended the process. */
+        private boolean told;
 
         Sidecar(String name) throws IOException {
             this.name = name;
@@ -155,6 +165,7 @@
             builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
             builder.redirectError(ProcessBuilder.Redirect.appendTo(log.toFile()));
             process = builder.start();
+            told = false;
             note("sidecar " + name + " started");
         }
 
@@ -190,16 +201,23 @@
 
         void signal(String signal) throws IOException, InterruptedException {
             note("SIG" + signal + " to sidecar " + name);
+            told |= signal.equals("TERM");
             new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
         }
 
         void kill() throws InterruptedException {
             note("SIGKILL to sidecar " + name);
+            told = true;
             process.destroyForcibly().waitFor();
         }
 
-        boolean alive() {
-            return process.isAlive();
+        /** A run in which a process has ended by itself shows nothing of the rule. */
+        static void requireAllAlive() {
+            for (Sidecar sidecar : ALL) {
+                if (!sidecar.told && !sidecar.process.isAlive()) {
+                    throw new CannotRun("sidecar " + sidecar.name + " ended by itself");
+                }
+            }
         }
 
         String logText() {
@@ -210,7 +228,7 @@
             }
         }
 
-        static void endAll() {
+        static synchronized void endAll() {
             for (Sidecar sidecar : ALL) {
                 if (sidecar.process != null) {
                     sidecar.process.destroyForcibly();
@@ -465,12 +483,20 @@
 
     /** The discovery service, or the agent that pushes lists. */
     static final class Discovery {
+        /** Kept from the collector, which would close them. */
+        private static final List<Socket> LOST_CALLS = new CopyOnWriteArrayList<>();
+
         private final Map<String, String> entries = new LinkedHashMap<>();
         private final TreeMap<Long, List<String>> changes = new TreeMap<>();
         private final List<Watch> watches = new CopyOnWriteArrayList<>();
         private final int port;
         private ServerSocket listener;
         private long seq;
+        private volatile boolean cut;
+        /** When the last call began. */
+        volatile double lastCallAt;
+        /** When the last empty line was written. */
+        volatile double lastEmptyLineAt;
         /** The form in which lists are written. */
         volatile java.util.function.UnaryOperator<String> form = list -> list;
         /** How long a call waits before it is answered. */
@@ -509,6 +535,27 @@
             return seq;
         }
 
+        /** Nothing gets through any more: open watches fall silent for good, and calls that begin never come up. */
+        synchronized void cut() {
+            note("the cut begins");
+            cut = true;
+            watches.clear();
+        }
+
+        synchronized void heal() {
+            note("the cut is over");
+            cut = false;
+        }
+
+        /** Ends all open watches by a reset. */
+        synchronized void resetWatches() {
+            note("all watches are reset");
+            for (Watch watch : watches) {
+                watch.reset();
+            }
+            watches.clear();
+        }
+
         synchronized String wholeList() {
             return list(seq, true, entries.values());
         }
@@ -537,7 +584,13 @@
                 try {
                     Socket connection = socket.accept();
                     connection.setTcpNoDelay(true);
-                    background("call", () -> call(connection));
+                    lastCallAt = now();
+                    if (cut) {
+                        note("a call begins that never comes up");
+                        LOST_CALLS.add(connection);
+                    } else {
+                        background("call", () -> call(connection));
+                    }
                 } catch (IOException e) {
                     return;
                 }
@@ -587,6 +640,7 @@
         private void writeEmptyLines() {
             while (true) {
                 sleep(2000);
+                lastEmptyLineAt = now();
                 for (Watch watch : watches) {
                     watch.write("\n");
                 }
@@ -751,18 +805,4 @@
             }
         });
     }
-
-    static boolean isTimeout(IOException e) {
-        return e instanceof SocketTimeoutException;
-    }
-
-    static boolean isReset(IOException e) {
-        return e instanceof SocketException;
-    }
-
-    static void each(int count, Consumer<Integer> task) {
-        for (int i = 0; i < count; i++) {
-            task.accept(i);
-        }
-    }
 }
