--- a/review/standins-2/Kit.java
+++ b/review/standins-2/Kit.java
@@ -29,6 +29,8 @@
 final class Kit {
     private static final long START_NANOS = System.nanoTime();
     private static final double MAX_RUN_MILLIS = 110_000;
+    /** Unlike any code with which a JVM ends by itself. */
+    private static final int BROKEN = 10;
 
     private Kit() {}
 
@@ -91,7 +93,7 @@
         }
     }
 
-    /** Runs a case: exit code 0 if the rule held, 1 if it was broken, 2 if the case could not run. */
+    /** Runs a case: exit code 0 if the rule held, 10 if it was broken, 2 if the case could not run. */
     static void run(Case body) {
         int code = 2;
         Runtime.getRuntime().addShutdownHook(new Thread(Sidecar::endAll));
@@ -108,7 +110,7 @@
             if (broken == null) {
                 Sidecar.requireAllAlive();
             }
-            code = broken == null ? 0 : 1;
+            code = broken == null ? 0 : BROKEN;
             note(broken == null ? "the rule held" : "THE RULE WAS BROKEN: " + broken);
         } catch (Throwable e) {
             if (record != null) {
