Take in each change of the list by its own cost, and bound discovery's part of a turn

Cause: each change cost work by all endpoints (the pool copied its map, the table went through all, the subset sorted all), and all lines that had come were one turn of the loop.

Change: ready endpoints are kept by rank and only what a change names is looked at; all calls to discovery together read for 25 ms of a turn; a closed call is read to the end of what had come, so that drains written before a move count.

DiscoveryClientFixture holds the loop up at looks of the client at the clock, not at those that time a read.

--- a/src/main/java/loadbalancer/discovery/DiscoveryCalls.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryCalls.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Random;
 import loadbalancer.eventloop.Clock;
-import loadbalancer.eventloop.SelectBarrier;
 
 /**
  * The one keeper of all open calls to discovery: it alone opens and closes them, and chooses the watch. Each call is
@@ -102,7 +101,7 @@
         calls.remove(call);
         waitingCalls.ended(call.state());
         call.state().setRole(CallRole.ABANDONED);
-        SelectBarrier.runAfterSelect(loop, call::close);
+        call.closeOnceRead(loop);
     }
 
     private void leave(CallState call, CallRole role) {
--- a/src/main/java/loadbalancer/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryClient.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import loadbalancer.eventloop.Clock;
 import loadbalancer.eventloop.SelectBarrier;
+import loadbalancer.eventloop.TurnTimeReadAllocator;
 import loadbalancer.memory.MemoryBudget;
 import loadbalancer.memory.MemoryUse;
 import loadbalancer.policy.DiscoveryCallSchedule;
@@ -36,6 +37,9 @@
     private static final int NO_CONNECT_TIMEOUT = 0;
 
     private static final long CHECK_INTERVAL_MILLIS = 100;
+    /** Of all calls together; as long as the margin that a request's timeout has for a busy loop. */
+    private static final double MAX_READ_MILLIS_PER_TURN = 25;
+
     private static final double NANOS_PER_MILLI = 1e6;
     /** For how many of the longest intervals a call stays open that is no longer waited for. */
     private static final int MAX_UNATTENDED_INTERVALS = 3;
@@ -79,7 +83,10 @@
         Bootstrap bootstrap = new Bootstrap()
                 .group(loop)
                 .channel(channels)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, NO_CONNECT_TIMEOUT);
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, NO_CONNECT_TIMEOUT)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new TurnTimeReadAllocator(loop, clock, MAX_READ_MILLIS_PER_TURN));
         this.calls = new DiscoveryCalls(
                 loop,
                 (to, version, state) -> connect(bootstrap, newCall(settings.memory(), mapper, to, version, state)),
--- a/src/main/java/loadbalancer/discovery/WatchCall.java
+++ b/src/main/java/loadbalancer/discovery/WatchCall.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -21,6 +22,8 @@
 import java.net.InetSocketAddress;
 import loadbalancer.eventloop.Clock;
 import loadbalancer.eventloop.FailFastEventLoop;
+import loadbalancer.eventloop.LastRead;
+import loadbalancer.eventloop.SelectBarrier;
 import loadbalancer.protocol.LimitedHeadersFactory;
 
 /**
@@ -53,6 +56,8 @@
     }
 
     private static final String PATH = "/registry/instances";
+    /** A service that goes on writing does not keep a call open. */
+    private static final int MAX_PASSES_BEFORE_CLOSE = 100;
 
     private final InetSocketAddress address;
     private final Long knownVersion;
@@ -62,6 +67,10 @@
     private final CallState state;
     private Channel channel;
     private boolean closed;
+    /** How often the socket has been read, in passes of several reads. */
+    private long readPasses;
+    /** True if the last pass may have left bytes unread that had come. */
+    private boolean passCutShort;
 
     /** A call that is not connected. {@code knownVersion} is the version to receive changes of, or null for all. */
     WatchCall(
@@ -119,6 +128,30 @@
         return address;
     }
 
+    /** Closes the connection once what has come by now is read, which may take several turns of this loop. */
+    void closeOnceRead(EventLoop loop) {
+        closeOnceRead(loop, MAX_PASSES_BEFORE_CLOSE);
+    }
+
+    private void closeOnceRead(EventLoop loop, int maxPasses) {
+        long passesBefore = readPasses;
+        SelectBarrier.runAfterSelect(loop, () -> {
+            boolean leftUnread = readPasses > passesBefore && passCutShort;
+            if (leftUnread && maxPasses > 1) {
+                closeOnceRead(loop, maxPasses - 1);
+            } else {
+                close();
+            }
+        });
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        readPasses++;
+        passCutShort = !LastRead.drained(ctx.channel());
+        ctx.fireChannelReadComplete();
+    }
+
     /** Closes the connection. */
     void close() {
         closed = true;
--- a/src/main/java/loadbalancer/policy/EndpointTable.java
+++ b/src/main/java/loadbalancer/policy/EndpointTable.java
@@ -1,6 +1,5 @@
 package loadbalancer.policy;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -10,6 +9,7 @@
     private final RankHash rankHash;
     private final int classCount;
     private final Map<String, EndpointState> endpoints = new LinkedHashMap<>();
+    private final ReadyEndpoints ready = new ReadyEndpoints();
 
     EndpointTable(RankHash rankHash, int classCount) {
         this.rankHash = rankHash;
@@ -26,29 +26,41 @@
     }
 
     /**
-     * Takes in a list, or changes to it.
+     * Takes in a list, or changes to it. Changes cost time by their own number, whatever else is listed.
      *
      * @param complete true if what the list does not name has left it
      */
     void update(double nowMillis, boolean complete, List<Endpoint> entries) {
         if (complete) {
-            for (EndpointState endpoint : endpoints.values()) {
-                endpoint.markUnlisted();
-            }
+            endpoints.values().forEach(EndpointState::markUnlisted);
+            ready.clear();
         }
         for (Endpoint entry : entries) {
             update(nowMillis, entry);
         }
-        endpoints.values().removeIf(EndpointState::forgettable);
+        if (complete) {
+            endpoints.values().removeIf(EndpointState::forgettable);
+        } else {
+            entries.forEach(this::forgetIfUnused);
+        }
     }
 
     private void update(double nowMillis, Endpoint entry) {
-        EndpointState known = endpoints.get(entry.id());
-        if (known == null) {
-            long rank = rankHash.rank(entry.id());
-            endpoints.put(entry.id(), new EndpointState(entry, rank, classCount, nowMillis));
+        EndpointState endpoint = endpoints.get(entry.id());
+        if (endpoint == null) {
+            endpoint = new EndpointState(entry, rankHash.rank(entry.id()), classCount, nowMillis);
+            endpoints.put(entry.id(), endpoint);
         } else {
-            known.update(entry, nowMillis);
+            endpoint.update(entry, nowMillis);
+        }
+        ready.update(endpoint);
+    }
+
+    // The list may name an endpoint twice.
+    private void forgetIfUnused(Endpoint entry) {
+        EndpointState endpoint = endpoints.get(entry.id());
+        if (endpoint != null) {
+            forgetIfUnused(endpoint);
         }
     }
 
@@ -59,14 +71,8 @@
         }
     }
 
-    /** The endpoints that take requests. */
-    List<EndpointState> ready() {
-        List<EndpointState> ready = new ArrayList<>();
-        for (EndpointState endpoint : endpoints.values()) {
-            if (endpoint.ready()) {
-                ready.add(endpoint);
-            }
-        }
+    /** The endpoints that take requests, as of the last update. */
+    ReadyEndpoints ready() {
         return ready;
     }
 }
--- a/src/main/java/loadbalancer/policy/SubsetSelector.java
+++ b/src/main/java/loadbalancer/policy/SubsetSelector.java
@@ -1,7 +1,5 @@
 package loadbalancer.policy;
 
-import java.util.List;
-
 /**
  * The subset of the endpoints to which this sidecar forwards: the first ones by rank, as many as its traffic needs.
  *
@@ -31,7 +29,11 @@
 
     private final int sidecarCount;
     private final double periodMillis;
-    private EndpointState[] ready = NO_ENDPOINTS;
+    /** Those from which the subset was picked last. */
+    private ReadyEndpoints ready = new ReadyEndpoints();
+    /** The same in the order in which the last walk over all left them; null until the first walk after a change. */
+    private EndpointState[] walkedReady;
+
     private EndpointState[] ranked = NO_ENDPOINTS;
     private EndpointState[] shuffled = NO_ENDPOINTS;
     private int size = MIN_SIZE;
@@ -57,23 +59,26 @@
 
     /** Every endpoint that the list calls ready; a walk may reorder them. */
     EndpointState[] ready() {
-        return ready;
+        if (walkedReady == null) {
+            walkedReady = ready.first(ready.size());
+        }
+        return walkedReady;
     }
 
     /** Ready endpoints for each place in the subsets of the fleet. */
     double endpointsPerPlace() {
-        return ready.length / (Math.max(1.0, ranked.length) * sidecarCount);
+        return ready.size() / (Math.max(1.0, ranked.length) * sidecarCount);
     }
 
-    /** Picks the subset anew from the endpoints that take requests. */
-    void select(double nowMillis, List<EndpointState> endpoints) {
-        endpoints.sort(SubsetSelector::compareByRank);
-        ready = endpoints.toArray(NO_ENDPOINTS);
+    /** Picks the subset anew, at a cost by its own size and not by the number of endpoints that take requests. */
+    void select(double nowMillis, ReadyEndpoints endpoints) {
+        ready = endpoints;
+        walkedReady = null;
         for (EndpointState endpoint : ranked) {
             endpoint.leftSubsetAt(nowMillis);
         }
         size = wantedSize();
-        ranked = endpoints.subList(0, Math.min(ready.length, size)).toArray(NO_ENDPOINTS);
+        ranked = endpoints.first(size);
         shuffled = ranked.clone();
         for (EndpointState endpoint : ranked) {
             endpoint.drop().recoverIdlePeriods((nowMillis - endpoint.leftSubsetAtMillis()) / periodMillis);
@@ -81,12 +86,6 @@
         updateRelativeSizes();
     }
 
-    private static int compareByRank(EndpointState first, EndpointState second) {
-        return first.rank() != second.rank()
-                ? Long.compare(first.rank(), second.rank())
-                : first.id().compareTo(second.id());
-    }
-
     /**
      * Takes a period's attempts in flight into the averages.
      *
@@ -110,7 +109,7 @@
      * would keep up the overload.
      */
     private int wantedSize() {
-        double connections = ready.length * FREE_CONNECTIONS_PER_ENDPOINT / sidecarCount;
+        double connections = ready.size() * FREE_CONNECTIONS_PER_ENDPOINT / sidecarCount;
         double free = Math.min(connections, Math.max(FREE_SIZE, FREE_SIZE_PER_IN_FLIGHT * inFlight));
         return (int) Math.ceil(Math.max(healthyInFlight, Math.max(MIN_SIZE, free)));
     }
--- a/src/main/java/loadbalancer/upstream/EndpointPool.java
+++ b/src/main/java/loadbalancer/upstream/EndpointPool.java
@@ -79,10 +79,11 @@
 
     /**
      * Applies an endpoint list. An endpoint that is draining or removed, has moved or has restarted is retired: its
-     * idle connections close, and those in use or being established take no further request.
+     * idle connections close, and those in use or being established take no further request. Changes cost time by their
+     * own number, whatever else is listed.
      */
     public void update(EndpointList list) {
-        Map<String, PooledEndpoint> before = new HashMap<>(endpoints);
+        Map<String, PooledEndpoint> before = list.snapshot() ? new HashMap<>(endpoints) : pooled(list);
         if (list.snapshot()) {
             endpoints.clear();
         }
@@ -103,6 +104,17 @@
         });
     }
 
+    private Map<String, PooledEndpoint> pooled(EndpointList named) {
+        Map<String, PooledEndpoint> found = new HashMap<>();
+        for (EndpointList.Entry entry : named.entries()) {
+            PooledEndpoint endpoint = endpoints.get(entry.endpoint().id());
+            if (endpoint != null) {
+                found.put(entry.endpoint().id(), endpoint);
+            }
+        }
+        return found;
+    }
+
     /**
      * Sends a request to an endpoint after the loop's next select. If that is impossible, the listener gets an outcome
      * that proves it, at once for an unknown endpoint.
--- a/src/test/java/loadbalancer/discovery/DiscoveryClientFixture.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryClientFixture.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.atomic.AtomicReference;
 import loadbalancer.configuration.Configuration;
 import loadbalancer.eventloop.Clock;
+import loadbalancer.eventloop.SelectBarrier;
+import loadbalancer.eventloop.TurnTimeReadAllocator;
 import loadbalancer.memory.MemoryBudget;
 import loadbalancer.policy.DiscoveryCallSchedule;
 import loadbalancer.policy.WatchEvent;
@@ -32,6 +34,7 @@
     private final AtomicReference<Runnable> clockHook = new AtomicReference<>();
     private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
     private final BlockingQueue<FakeServer.Connection> calls = new LinkedBlockingQueue<>();
+    private final AtomicReference<Runnable> listHook = new AtomicReference<>(() -> {});
     final List<String> log = new CopyOnWriteArrayList<>();
     private DiscoveryClient client;
 
@@ -40,6 +43,7 @@
         List<String> ids =
                 list.entries().stream().map(entry -> entry.endpoint().id()).toList();
         events.add(kind + " " + list.version() + " " + ids);
+        listHook.get().run();
     }
 
     @Override
@@ -104,6 +108,19 @@
         nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
     }
 
+    /** From now on this runs on the loop for each list that has come. */
+    void onEachList(Runnable task) {
+        listHook.set(task);
+    }
+
+    /** From now on this runs in each turn of the loop, behind what the turn has read. */
+    void onEachTurn(Runnable task) {
+        SelectBarrier.runAfterSelect(loop, () -> {
+            task.run();
+            onEachTurn(task);
+        });
+    }
+
     /** Waits until the loop has handled everything that it received before. */
     void awaitLoop() throws Exception {
         loop.submit(() -> {}).get();
@@ -120,7 +137,7 @@
         void run() throws Exception;
     }
 
-    /** Holds the loop up at its next look at the clock until this has been done; what comes meanwhile is unread. */
+    /** Holds the loop up at its next look at the clock, but in a read, until this is done; what comes is unread. */
     void blockLoop(Meanwhile meanwhile) throws Exception {
         CountDownLatch blocked = new CountDownLatch(1);
         CountDownLatch release = new CountDownLatch(1);
@@ -144,13 +161,19 @@
     }
 
     private long clockNanos() {
-        Runnable hook = loop.inEventLoop() ? clockHook.getAndSet(null) : null;
-        if (hook != null) {
-            hook.run();
+        if (clockHook.get() != null && loop.inEventLoop() && !readTimed()) {
+            clockHook.getAndSet(null).run();
         }
         return nanos.get();
     }
 
+    // How long a read takes is no look of the client at its calls.
+    private static boolean readTimed() {
+        return StackWalker.getInstance()
+                .walk(frames -> frames.anyMatch(
+                        frame -> frame.getClassName().startsWith(TurnTimeReadAllocator.class.getName())));
+    }
+
     FakeServer.Connection nextCall() throws InterruptedException {
         return next(calls);
     }
--- a/src/test/java/loadbalancer/policy/SubsetSelectorTest.java
+++ b/src/test/java/loadbalancer/policy/SubsetSelectorTest.java
@@ -14,9 +14,15 @@
 class SubsetSelectorTest {
     private static final double PERIOD_MILLIS = 50;
 
+    private static ReadyEndpoints ready(List<EndpointState> endpoints) {
+        ReadyEndpoints ready = new ReadyEndpoints();
+        endpoints.forEach(ready::update);
+        return ready;
+    }
+
     private static SubsetSelector selector(int sidecars, List<EndpointState> endpoints) {
         SubsetSelector selector = new SubsetSelector(sidecars, PERIOD_MILLIS);
-        selector.select(0, new ArrayList<>(endpoints));
+        selector.select(0, ready(endpoints));
         return selector;
     }
 
@@ -52,7 +58,7 @@
         selector.endPeriod(10, 0);
         assertTrue(selector.sizeOutdated());
         selector.endPeriod(10, 0);
-        selector.select(0, new ArrayList<>(endpoints));
+        selector.select(0, ready(endpoints));
         assertEquals(5, selector.ranked().length);
     }
 
@@ -62,7 +68,7 @@
         for (int i = 0; i < 3; i++) {
             selector.endPeriod(10, 0);
         }
-        selector.select(0, new ArrayList<>(PolicyStates.rankedEndpoints(20)));
+        selector.select(0, ready(PolicyStates.rankedEndpoints(20)));
         // A fall counts by a hundredth in a period: 4.88 x 0.99 to the 48th is 3.01, to the 49th 2.98.
         for (int i = 0; i < 48; i++) {
             selector.endPeriod(0, 0);
@@ -90,7 +96,7 @@
         SubsetSelector selector = selector(4, endpoints);
         // A rise counts by a fifth in a period.
         selector.endPeriod(0, 30);
-        selector.select(0, new ArrayList<>(endpoints));
+        selector.select(0, ready(endpoints));
         assertEquals(12, selector.ranked().length);
     }
 
@@ -112,9 +118,9 @@
         List<EndpointState> endpoints = PolicyStates.rankedEndpoints(4);
         SubsetSelector selector = selector(400, endpoints);
         endpoints.get(0).drop().dropAll();
-        selector.select(1000, new ArrayList<>(endpoints.subList(1, 4)));
+        selector.select(1000, ready(endpoints.subList(1, 4)));
         assertEquals(List.of("s1", "s2", "s3"), ids(selector));
-        selector.select(1000 + 10 * PERIOD_MILLIS, new ArrayList<>(endpoints));
+        selector.select(1000 + 10 * PERIOD_MILLIS, ready(endpoints));
         assertEquals(List.of("s0", "s1", "s2"), ids(selector));
         // Ten idle periods; 1.08 to the 10th is 2.158924997.
         assertEquals(1 - (0.05 * 2.158924997 - 0.05), endpoints.get(0).drop().dropFraction(), 1e-6);
