Serve both read allocators by one task at the end of a turn, and name two times once

TurnTimeReadAllocator had written again how FairReadAllocator runs a task once behind the sockets of a turn: TurnEndTask does it for both. InitialListTerm and UnansweredCallPacing had the term and the shortest interval of NotificationBudget as constants of their own. SharedServicePacing asked for the size of the fleet that its two subclasses stand for; the small one ignores late rejections itself now.

--- a/src/main/java/loadbalancer/downstream/FairReadAllocator.java
+++ b/src/main/java/loadbalancer/downstream/FairReadAllocator.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelConfig;
 import io.netty.channel.RecvByteBufAllocator;
 import java.util.concurrent.Executor;
+import loadbalancer.eventloop.TurnEndTask;
 
 /**
  * Bounds what the connections of one event loop read in a turn, one by one and all together, so that a turn takes a
@@ -24,15 +25,14 @@
     /** Where a connection's debt ends, so that one which sends less again is not restricted for long. */
     private static final int MIN_CREDIT = -1024 * 1024;
 
-    private final Executor loop;
     private final ReadAllowance allowance;
+    private final TurnEndTask turnEnd;
     private final RecvByteBufAllocator sizes = new AdaptiveRecvByteBufAllocator(
                     MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
             // Reads until nothing is left: otherwise the end of a connection would be found a turn later than
             // the request before it, which would be forwarded for a client that has left.
             .respectMaybeMoreData(false)
             .maxMessagesPerRead(MAX_READS_PER_TURN);
-    private boolean turnEndScheduled;
 
     /**
      * An allocator for all connections of one loop.
@@ -41,8 +41,8 @@
      * @param allowance of all connections, which is told what is decoded from the bytes of a read
      */
     FairReadAllocator(Executor loop, ReadAllowance allowance) {
-        this.loop = loop;
         this.allowance = allowance;
+        this.turnEnd = new TurnEndTask(loop, allowance::beginTurn);
     }
 
     @Override
@@ -51,18 +51,6 @@
         return new FairHandle(sizes.newHandle());
     }
 
-    private void scheduleTurnEnd() {
-        if (!turnEndScheduled) {
-            turnEndScheduled = true;
-            loop.execute(this::beginTurn);
-        }
-    }
-
-    private void beginTurn() {
-        turnEndScheduled = false;
-        allowance.beginTurn();
-    }
-
     /** The reads of one connection. */
     private final class FairHandle extends RecvByteBufAllocator.DelegatingHandle {
         /** What is left of the connection's shares; negative if it has used up more. */
@@ -85,7 +73,7 @@
                 int share = allowance.share();
                 credit = (int) Math.min(share, credit + turns * share);
                 creditedTurn = allowance.turn();
-                scheduleTurnEnd();
+                turnEnd.schedule();
             }
         }
 
--- a/src/main/java/loadbalancer/eventloop/TurnTimeReadAllocator.java
+++ b/src/main/java/loadbalancer/eventloop/TurnTimeReadAllocator.java
@@ -22,14 +22,13 @@
 
     private static final int MAX_READS_PER_TURN = 64;
 
-    private final Executor loop;
+    private final TurnEndTask turnEnd;
     private final Clock clock;
     private final double maxMillisPerTurn;
     private final RecvByteBufAllocator sizes = new AdaptiveRecvByteBufAllocator(
                     MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES)
             .maxMessagesPerRead(MAX_READS_PER_TURN);
     private double usedThisTurnMillis;
-    private boolean turnEndScheduled;
 
     /**
      * An allocator for all connections of the group.
@@ -38,7 +37,7 @@
      * @param maxMillisPerTurn the time that the group may take, in milliseconds; the last read may go beyond it
      */
     public TurnTimeReadAllocator(Executor loop, Clock clock, double maxMillisPerTurn) {
-        this.loop = loop;
+        this.turnEnd = new TurnEndTask(loop, this::beginTurn);
         this.clock = clock;
         this.maxMillisPerTurn = maxMillisPerTurn;
     }
@@ -53,15 +52,7 @@
         return usedThisTurnMillis >= maxMillisPerTurn;
     }
 
-    private void scheduleTurnEnd() {
-        if (!turnEndScheduled) {
-            turnEndScheduled = true;
-            loop.execute(this::beginTurn);
-        }
-    }
-
     private void beginTurn() {
-        turnEndScheduled = false;
         usedThisTurnMillis = 0;
     }
 
@@ -78,7 +69,7 @@
         public void reset(ChannelConfig config) {
             super.reset(config);
             readBegunMillis = clock.now();
-            scheduleTurnEnd();
+            turnEnd.schedule();
         }
 
         @Override
--- a/src/main/java/loadbalancer/policy/InitialListTerm.java
+++ b/src/main/java/loadbalancer/policy/InitialListTerm.java
@@ -7,8 +7,6 @@
  * One that called at once has missed nothing. Times are in milliseconds on the policy's clock.
  */
 final class InitialListTerm {
-    /** By the operators' term, what changed before the start counts as known so long after it. */
-    private static final double TERM_MILLIS = 6000;
     /** From the start of the process to that of its policy. */
     private static final double MAX_PROCESS_START_MILLIS = 1000;
     /** Discovery that was in reach for less could not have answered. */
@@ -24,7 +22,9 @@
      */
     void started(double nowMillis, double firstCallMillis) {
         boolean callsLate = firstCallMillis - nowMillis > MAX_FIRST_CALL_DELAY_MILLIS;
-        endMillis = callsLate ? nowMillis + TERM_MILLIS - MAX_PROCESS_START_MILLIS : Double.POSITIVE_INFINITY;
+        endMillis = callsLate
+                ? nowMillis + NotificationBudget.TERM_MILLIS - MAX_PROCESS_START_MILLIS
+                : Double.POSITIVE_INFINITY;
     }
 
     /** Discovery has sent a list, or said that nothing has changed. */
--- a/src/main/java/loadbalancer/policy/NotificationBudget.java
+++ b/src/main/java/loadbalancer/policy/NotificationBudget.java
@@ -9,7 +9,7 @@
  * overloaded gets a list across only if the calls come slower.
  */
 final class NotificationBudget {
-    private static final double TERM_MILLIS = 6000;
+    static final double TERM_MILLIS = 6000;
     /** By the operators' term, what is left after SIGHUP has moved discovery. */
     private static final double MOVE_TERM_MILLIS = 4000;
     /** A process may be paused for this long at any moment. */
@@ -24,7 +24,7 @@
     private static final double PAUSE_FRACTION = 0.6;
 
     /** Shorter intervals would overload discovery. */
-    private static final double MIN_INTERVAL_MILLIS = 300;
+    static final double MIN_INTERVAL_MILLIS = 300;
 
     /** A crowded service that answers in time lets a call wait for about so long. */
     private static final double MIN_UNANSWERED_MILLIS = 1100;
--- a/src/main/java/loadbalancer/policy/SharedServicePacing.java
+++ b/src/main/java/loadbalancer/policy/SharedServicePacing.java
@@ -3,12 +3,10 @@
 /** What the calls of small and of large fleets to a shared service have in common: those beside unanswered ones. */
 abstract class SharedServicePacing implements CallPacing {
     private final UnansweredCallPacing unanswered;
-    private final boolean callsMayCrowd;
 
     /** @param sidecars how many call the same service */
     SharedServicePacing(ListCurrency currency, int sidecars) {
         this.unanswered = new UnansweredCallPacing(currency, sidecars);
-        this.callsMayCrowd = sidecars > FleetSpread.SIDECARS_ANSWERED_IN_TURN;
     }
 
     @Override
@@ -27,10 +25,8 @@
     }
 
     @Override
-    public final void rejectedAfter(double waitMillis) {
-        if (callsMayCrowd) {
-            unanswered.rejected(waitMillis);
-        }
+    public void rejectedAfter(double waitMillis) {
+        unanswered.rejected(waitMillis);
     }
 
     @Override
--- a/src/main/java/loadbalancer/policy/SmallFleetPacing.java
+++ b/src/main/java/loadbalancer/policy/SmallFleetPacing.java
@@ -46,6 +46,11 @@
         return nowMillis + MIN_REJECTED_PAUSE_MILLIS + REJECTED_PAUSE_RANGE_MILLIS * random.nextDouble();
     }
 
+    @Override
+    public void rejectedAfter(double waitMillis) {
+        // The calls of so few don't crowd a service: a late rejection shows something else.
+    }
+
     @Override
     public void callRequested(double nowMillis) {
         // No pause depends on it.
--- a/src/main/java/loadbalancer/policy/UnansweredCallPacing.java
+++ b/src/main/java/loadbalancer/policy/UnansweredCallPacing.java
@@ -13,7 +13,6 @@
     /** What a service takes for one call otherwise. */
     private static final double SERVICE_MILLIS_PER_CALL = 20;
 
-    private static final double MIN_INTERVAL_MILLIS = 300;
     /** A service that is down rejects calls at once. */
     private static final double MIN_CROWDED_WAIT_MILLIS = 1000;
 
@@ -32,8 +31,12 @@
      */
     UnansweredCallPacing(ListCurrency currency, int sidecars) {
         this.currency = currency;
-        this.firstIntervalMillis = Math.max(MIN_INTERVAL_MILLIS, sidecars * SLOW_SERVICE_MILLIS_PER_CALL);
-        this.furtherIntervalMillis = Math.max(MIN_INTERVAL_MILLIS, sidecars * SERVICE_MILLIS_PER_CALL);
+        this.firstIntervalMillis = intervalMillis(sidecars, SLOW_SERVICE_MILLIS_PER_CALL);
+        this.furtherIntervalMillis = intervalMillis(sidecars, SERVICE_MILLIS_PER_CALL);
+    }
+
+    private static double intervalMillis(int sidecars, double millisPerCall) {
+        return Math.max(NotificationBudget.MIN_INTERVAL_MILLIS, sidecars * millisPerCall);
     }
 
     /** A call begins now. */
